Handle SIGHUP: read the configuration again and move the discovery watch

The program has no handler for SIGHUP, so the JVM takes it for an end and runs the shutdown hook; nothing in Main or Watch could take a new address. Checked in Main.serve (only a shutdown hook) and Watch (a final address).

Now Config.reread applies all checks of the start to the file, the file's discovery going before the environment's; Gateway.reload moves the watch, which closes its open connection at once and asks the new address for what came after the last version. A file with faults is logged and changes nothing. Silence on the watch counts after 3 s instead of 10: an empty line comes every 2 s, and news counts as told 4 s after SIGHUP.

Test: a stream that runs on through two SIGHUPs, one with a bad file.

--- a/src/main/java/dunlinladder/lifecycle/Config.java
+++ b/src/main/java/dunlinladder/lifecycle/Config.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -35,6 +36,16 @@
         }
     }
 
+    /**
+     * Reads the file again while the gateway runs, with the same checks. What the file says of discovery now
+     * goes before the environment, which still names the address of the start.
+     */
+    static Config reread(Map<String, String> environment) {
+        Map<String, String> start = new HashMap<>(environment);
+        start.remove("RELAY_DISCOVERY");
+        return read(start);
+    }
+
     static Config read(Json file, Map<String, String> environment) {
         Json settings = file.child("settings");
         Json caps = settings.childOrEmpty("caps");
@@ -45,7 +56,7 @@
         int each = Math.min(1024, sockets - OWN_SOCKETS) / 2;
         double keepalive = positive(caps, "keepalive", 30);
         Limits limits = new Limits(256 * 1024, 4096, Math.min(each, (int) caps.integer("most-held", each)),
-                each, each, positive(caps, "connect-timeout", 0.25), keepalive / 3, 0.25, 4, 10, 0.2,
+                each, each, positive(caps, "connect-timeout", 0.25), keepalive / 3, 0.25, 4, 3, 0.2,
                 positive(caps, "max-retry-after", 1), 0.6);
         List<Json> classes = settings.children("classes");
         return new Config(environment.getOrDefault("RELAY_NAME", file.text("name", "gateway")),
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -40,6 +40,8 @@
     private final Server server;
     private final Server chat;
     private final HostReader hosts;
+    private final HostReader.News known;
+    private final Watch watch;
     private volatile boolean draining;
     private volatile boolean closing;
 
@@ -65,6 +67,9 @@
                 operator.settings(), clock, limits, () -> closing);
         chat = operator == null ? null : new Server(clients, () -> new ChatExchange(chats));
         hosts = new HostReader(config.zones(), config.kinds());
+        known = config.known().has("hosts") ? hosts.read(config.known(), true) : null;
+        watch = new Watch(config.discovery(), hosts, limits, known == null ? 0 : known.version(),
+                this::learn);
         timer.scheduleWithFixedDelay(connections::closeIdle, 1, 1, TimeUnit.SECONDS);
     }
 
@@ -76,12 +81,10 @@
 
     /** Starts all parts; clients are let in last. */
     int start() throws IOException, InterruptedException {
-        HostReader.News known = config.known().has("hosts") ? hosts.read(config.known(), true) : null;
         if (known != null) {
             learn(known);
         }
-        daemon(new Watch(config.discovery(), hosts, limits, known == null ? 0 : known.version(), this::learn),
-                "discovery").start();
+        daemon(watch, "discovery").start();
         daemon(this::tick, "decisions").start();
         int port = server.listen(config.listen());
         LOG.info("{} listens on {} port {}", config.name(), config.listen(), port);
@@ -92,6 +95,17 @@
         return port;
     }
 
+    /**
+     * Takes up a new configuration: the address of discovery. What else the file says takes effect at the
+     * next start, but all of it is checked, so that a file with faults changes nothing.
+     */
+    void reload(Config next) throws IOException {
+        if (next.known().has("hosts")) {
+            hosts.read(next.known(), true);
+        }
+        watch.moveTo(next.discovery());
+    }
+
     /** The list is put in place before the module may send to what it names. */
     private void learn(HostReader.News news) {
         if (news.scope() == Decider.Scope.CHANGES || !news.engines().isEmpty()) {
--- a/src/main/java/dunlinladder/lifecycle/Main.java
+++ b/src/main/java/dunlinladder/lifecycle/Main.java
@@ -16,10 +16,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
 
 /** Starts the program: the gateway, the operator's commands, the simulator's adapter. */
 public final class Main {
 
+    private static final Logger LOG = LoggerFactory.getLogger(Main.class);
     private static final String USAGE = """
             usage: java -jar dunlinladder.jar COMMAND
               serve [--state STATE]                 the gateway; chat as applied, off without a state
@@ -71,6 +75,8 @@
         Config config = Config.read(System.getenv());
         Gateway gateway = new Gateway(config, Files.exists(state)
                 ? Operator.chat(Plans.applied(state).settings(), config, System.getenv()) : null);
+        // Without a handler of its own SIGHUP ends the JVM.
+        Signal.handle(new Signal("HUP"), signal -> reload(gateway));
         gateway.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             int status = 0;
@@ -85,6 +91,16 @@
         new CountDownLatch(1).await();
     }
 
+    /** A bad file must not cost a gateway that serves: it keeps what it has, and says why. */
+    private static synchronized void reload(Gateway gateway) {
+        try {
+            gateway.reload(Config.reread(System.getenv()));
+            LOG.info("the configuration was read again");
+        } catch (BadInput | IOException e) {
+            LOG.error("the configuration was read again and not taken: {}", e.getMessage());
+        }
+    }
+
     private static void simulate() throws IOException {
         BufferedReader in = new BufferedReader(new InputStreamReader(
                 new FileInputStream(FileDescriptor.in), StandardCharsets.UTF_8), 1 << 16);
--- a/src/test/java/dunlinladder/it/RulesTest.java
+++ b/src/test/java/dunlinladder/it/RulesTest.java
@@ -120,6 +120,34 @@
         assertEquals(before, leaving.count("POST", "plain"));
     }
 
+    /** A stream runs on, the old address is left at once, and a file with faults changes nothing. */
+    @Test
+    void hangupPointsTheWatchAtTheFilesDiscovery() throws Exception {
+        StandIn.until(() -> running.discovery.seen.size() == 1);
+        try (Browser streaming = running.post(id, "listing", "9.0", "cut later");
+                StandIn next = new StandIn("discovery")) {
+            assertTrue(streaming.head());
+            running.configure(next.address(), "{\"classes\":7}");
+            running.signal("HUP");
+            StandIn.until(() -> running.lines.stream().anyMatch(line -> line.contains("not taken")));
+            assertEquals(0, next.seen.size());
+            running.configure(next.address(), Running.SETTINGS);
+            running.signal("HUP");
+            StandIn.until(() -> next.seen.size() == 1);
+            StandIn.until(() -> running.lines.stream().anyMatch(line -> line.contains("was read again")
+                    && !line.contains("not taken")));
+            next.tell("{\"seq\":2,\"whole\":false,\"hosts\":["
+                    + Running.host(running.writers.get(0), "answer", "leaving") + ","
+                    + Running.host(running.writers.get(1), "answer", "leaving") + "]}");
+            while (plain() == 200) {
+                Thread.yield();
+            }
+            running.writers.forEach(w -> w.firstSeen = true);
+            assertTrue(streaming.body().startsWith(StandIn.delta("one", "null")));
+            assertEquals(1, running.discovery.seen.size());
+        }
+    }
+
     private int plain() throws Exception {
         try (Browser browser = running.post(Running.freshId(), "lookup", "4.0", "plain")) {
             assertTrue(browser.head());
--- a/src/test/java/dunlinladder/it/Running.java
+++ b/src/test/java/dunlinladder/it/Running.java
@@ -9,13 +9,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** The program as a process of its own, with a reader, two writers and discovery standing in round it. */
 final class Running implements AutoCloseable {
 
     private static final AtomicLong IDS = new AtomicLong();
-    private static final String SETTINGS = """
+    static final String SETTINGS = """
             {"balancers":1,"caps":{"cancel":true,"connect-timeout":0.25,"keepalive":30.0,"max-attempts":4,
             "max-retry-after":0.5,"retry-after":false},"classes":[
             {"name":"lookup","deadline":4.0,"objective":0.8,"semantics":"safe","stream":true,"worth":1.0},
@@ -32,16 +33,16 @@
     final StandIn reader = new StandIn("reader");
     final List<StandIn> writers = List.of(new StandIn("writer"), new StandIn("writer"));
     final StandIn discovery = new StandIn("discovery");
+    /** What the program has logged since it listens. */
+    final List<String> lines = new CopyOnWriteArrayList<>();
     final Process process;
+    private final Path config;
     final int port;
     final int chatPort;
 
     Running(Map<String, String> environment, Path state) throws IOException {
-        Path config = Files.createTempFile("gateway", ".json");
-        Files.writeString(config, "{\"name\":\"n0\",\"seed\":\"8c1f30d27a5be964\",\"known\":{\"seq\":1,"
-                + "\"whole\":true,\"hosts\":[" + host(reader, "prompt", "active") + ","
-                + host(writers.get(0), "answer", "active") + "," + host(writers.get(1), "answer", "active")
-                + "]},\"settings\":" + SETTINGS + "}");
+        config = Files.createTempFile("gateway", ".json");
+        configure(discovery.address(), SETTINGS);
         ProcessBuilder builder = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin",
                 "java").toString(), "-Xmx64m", "-cp", System.getProperty("java.class.path"),
                 "dunlinladder.lifecycle.Main", "serve", "--state", String.valueOf(state)));
@@ -52,20 +53,34 @@
         BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream()));
         port = portIn(log, " listens on ");
         chatPort = state == null ? 0 : portIn(log, " speaks chat on ");
-        Thread drain = new Thread(() -> log.lines().forEach(line -> { }));
+        Thread drain = new Thread(() -> log.lines().forEach(lines::add));
         drain.setDaemon(true);
         drain.start();
     }
 
+    /** Replaces the configuration's file. */
+    void configure(String discoveryAddress, String settings) throws IOException {
+        Files.writeString(config, "{\"discovery\":\"" + discoveryAddress + "\","
+                + "\"name\":\"n0\",\"seed\":\"8c1f30d27a5be964\",\"known\":{\"seq\":1,"
+                + "\"whole\":true,\"hosts\":[" + host(reader, "prompt", "active") + ","
+                + host(writers.get(0), "answer", "active") + "," + host(writers.get(1), "answer", "active")
+                + "]},\"settings\":" + settings + "}");
+    }
+
+    /** Sends a signal to the program. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
+    }
+
     private static int portIn(BufferedReader log, String mark) throws IOException {
-        List<String> lines = new ArrayList<>();
+        List<String> before = new ArrayList<>();
         for (String line = log.readLine(); line != null; line = log.readLine()) {
-            lines.add(line);
+            before.add(line);
             if (line.contains(mark)) {
                 return Integer.parseInt(line.substring(line.lastIndexOf(' ') + 1));
             }
         }
-        throw new IOException("the program ended: " + lines);
+        throw new IOException("the program ended: " + before);
     }
 
     static String host(StandIn engine, String kind, String health) {
