Strict heads and chunks, time limits for clients, room made by closing the longest idle

Checked in HttpCore's classes: DefaultContentLengthStrategy prefers Transfer-Encoding over Content-Length; the message parser completes half a head at the end of the input; the chunk decoder takes negative and 3 GB sizes; the listener ends for good on an accept that fails. In Server, no session had a time-out, sessions over the limit were reset newest first, and `current` knew only the latest exchange of a client address.

Now: HeadParser bounds a head and takes no doubtful length; ChunkReader decodes chunks; ClientConnection holds one connection's state (one request at a time, 2.5 s to send one or to be without one); Server lets new connections wait in the listen queue while it closes the longest idle; a too large length is refused from the head; the sum of all bodies is bounded; numbers are plain decimals. The reflective session proxy is gone.

Tests: tables for heads and chunks, and real sockets for broken requests, 400 silent connections, requests that do not wait, and an id that is open.

--- a/src/main/java/dunlinladder/core/Limits.java
+++ b/src/main/java/dunlinladder/core/Limits.java
@@ -4,6 +4,9 @@
  * All sizes, counts and times that bound the gateway; filled once at the start and handed down.
  *
  * @param bodyBytes         longest request body that is taken
+ * @param bodiesBytes       sum of all request bodies that are held at once
+ * @param headBytes         longest head, of a request or an answer
+ * @param chunkBytes        longest chunk of a body
  * @param answerBytes       longest engine answer that is kept whole (reads, errors)
  * @param requests          requests driven at once, each on a thread
  * @param clientConnections client connections held at once
@@ -15,10 +18,14 @@
  * @param silenceSeconds    silence after which the discovery watch is opened anew
  * @param reconnectSeconds  pause before the discovery watch is opened again
  * @param retryAfterSeconds advice on refusals for which the module gives none
+ * @param requestSeconds    for a client to send a request, and to be without one, before it is closed
+ * @param stallSeconds      for which a client may take nothing of its answer
+ * @param evictSeconds      without a request after which a connection may make room for another
  * @param drainSeconds      from SIGTERM until no new connection is accepted
  */
-public record Limits(int bodyBytes, int answerBytes, int requests, int clientConnections,
-        int engineConnections, double connectSeconds, double idleSeconds, double releaseSeconds,
-        int releaseTries, double silenceSeconds, double reconnectSeconds, double retryAfterSeconds,
-        double drainSeconds) {
+public record Limits(int bodyBytes, long bodiesBytes, int headBytes, int chunkBytes, int answerBytes,
+        int requests, int clientConnections, int engineConnections, double connectSeconds,
+        double idleSeconds, double releaseSeconds, int releaseTries, double silenceSeconds,
+        double reconnectSeconds, double retryAfterSeconds, double requestSeconds, double stallSeconds,
+        double evictSeconds, double drainSeconds) {
 }
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,6 +40,7 @@
     private final Dispatcher dispatcher;
     private final Server server;
     private final Server chat;
+    private final List<Server> servers;
     private final HostReader hosts;
     private final HostReader.News known;
     private final Watch watch;
@@ -57,19 +59,22 @@
         ThreadPoolExecutor pool = new ThreadPoolExecutor(4, limits.requests(), 10, TimeUnit.SECONDS,
                 new SynchronousQueue<>(), task -> daemon(task, "request"));
         dispatcher = new Dispatcher(decisions, engines, client, pool, clock, limits.requests());
+        AtomicLong bodies = new AtomicLong();
         PlatformExchange.Shared shared = new PlatformExchange.Shared(dispatcher, new RequestReader(
                 config.classes(), config.deadlines(), config.tenants()), clock, limits, () -> draining,
-                () -> closing);
+                () -> closing, bodies);
         // The fronts share the descriptors that are meant for clients.
         int clients = limits.clientConnections() / (operator == null ? 1 : 2);
-        server = new Server(clients, () -> new PlatformExchange(shared));
+        server = new Server(clients, limits, () -> new PlatformExchange(shared));
         ChatExchange.Shared chats = operator == null ? null : new ChatExchange.Shared(dispatcher,
-                operator.settings(), clock, limits, () -> closing);
-        chat = operator == null ? null : new Server(clients, () -> new ChatExchange(chats));
+                operator.settings(), clock, limits, () -> closing, bodies);
+        chat = operator == null ? null : new Server(clients, limits, () -> new ChatExchange(chats));
         hosts = new HostReader(config.zones(), config.kinds());
         known = config.known().has("hosts") ? hosts.read(config.known(), true) : null;
         watch = new Watch(config.discovery(), hosts, limits, known == null ? 0 : known.version(),
                 this::learn);
+        servers = chat == null ? List.of(server) : List.of(server, chat);
+        timer.scheduleWithFixedDelay(() -> servers.forEach(Server::sweep), 100, 100, TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(connections::closeIdle, 1, 1, TimeUnit.SECONDS);
     }
 
@@ -133,7 +138,7 @@
         draining = true;
         Thread.sleep((long) (limits.drainSeconds() * 1000));
         closing = true;
-        for (Server each : chat == null ? List.of(server) : List.of(server, chat)) {
+        for (Server each : servers) {
             each.stopListening();
             each.closeIdle();
         }
@@ -142,10 +147,7 @@
         }
         // The last answers may still be on their way out of the process.
         Thread.sleep(100);
-        server.close();
-        if (chat != null) {
-            chat.close();
-        }
+        servers.forEach(Server::close);
         LOG.info("stopped");
     }
 }
--- /dev/null
+++ b/src/main/java/dunlinladder/wire/ClientConnection.java
@@ -0,0 +1,156 @@
+package dunlinladder.wire;
+
+import dunlinladder.core.Limits;
+import java.io.IOException;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.SelectionKey;
+import java.util.Locale;
+import org.apache.hc.core5.function.Supplier;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.config.CharCodingConfig;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.HandlerFactory;
+import org.apache.hc.core5.http.nio.NHttpMessageParser;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.http.nio.support.ImmediateResponseExchangeHandler;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
+
+/**
+ * One client's connection: its requests one at a time, the time it may take over them, and its end. It sees
+ * each head before HttpCore does, and with it the end of the client's input, which HttpCore takes for a
+ * graceful shutdown that lets the answer run on, unheard: here a client that closes has gone away.
+ */
+final class ClientConnection implements NHttpMessageParser<HttpRequest>,
+        HandlerFactory<AsyncServerExchangeHandler> {
+
+    private final ProtocolIOSession session;
+    private final Limits limits;
+    private final Supplier<? extends ServerExchange> exchanges;
+    private final HeadParser<HttpRequest> parser;
+    private volatile ServerExchange open;
+    /** When it connected, its last answer ended, or the first byte behind that came. */
+    private volatile long since = System.nanoTime();
+    private volatile boolean answered;
+    private volatile boolean begun;
+    private boolean refusing;
+
+    ClientConnection(ProtocolIOSession session, Limits limits, Http1Config config,
+            Supplier<? extends ServerExchange> exchanges) {
+        this.session = session;
+        this.limits = limits;
+        this.exchanges = exchanges;
+        this.parser = new HeadParser<>(new DefaultHttpRequestParserFactory(config).create(),
+                limits.headBytes(), 0);
+    }
+
+    /** The handler that HttpCore drives this connection with. */
+    IOEventHandler handler(HttpProcessor processor, Http1Config config) {
+        return new ServerHttp1IOEventHandler(new ServerHttp1StreamDuplexer(session, processor, this, "http",
+                config, CharCodingConfig.DEFAULT, null, this,
+                DefaultHttpResponseWriterFactory.INSTANCE.create(), null, null, null, null) {
+            @Override
+            protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
+                    SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+                return length == -1 ? new ChunkReader(channel, buffer, limits.chunkBytes())
+                        : super.createContentDecoder(length, channel, buffer, metrics);
+            }
+        });
+    }
+
+    @Override
+    public HttpRequest parse(SessionInputBuffer buffer, boolean end) throws IOException, HttpException {
+        ServerExchange current = open;
+        if (end) {
+            if (current != null) {
+                current.close();
+            }
+            throw new ConnectionClosedException("closed by the client");
+        }
+        if (refusing) {
+            // Nothing more is read, and so nothing more kept, of what was sent without waiting for answers.
+            session.clearEvent(SelectionKey.OP_READ);
+            return null;
+        }
+        HttpRequest head = parser.parse(buffer, false);
+        if (!begun && (head != null || parser.begun(buffer))) {
+            begun = true;
+            since = answered ? System.nanoTime() : since;
+        }
+        return head;
+    }
+
+    @Override
+    public void reset() {
+        parser.reset();
+    }
+
+    /** A request that does not wait for the answer before it is refused; the connection ends with that. */
+    @Override
+    public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
+        if (open != null) {
+            refusing = true;
+            HttpResponse refusal = new BasicHttpResponse(503);
+            refusal.setHeader("Connection", "close");
+            refusal.setHeader("Retry-After", String.format(Locale.ROOT, "%.3f", limits.retryAfterSeconds()));
+            return new ImmediateResponseExchangeHandler(refusal, "one request at a time\n");
+        }
+        ServerExchange exchange = exchanges.get();
+        open = exchange;
+        exchange.onOver(this::over);
+        return exchange;
+    }
+
+    /** Runs with the exchange's lock held, so it takes none. */
+    private void over() {
+        since = System.nanoTime();
+        answered = true;
+        begun = false;
+        open = null;
+    }
+
+    /** Seconds for which no request has been open; negative while one is. */
+    double idle() {
+        return open != null ? -1 : (System.nanoTime() - since) / 1e9;
+    }
+
+    /** Closes it when the client takes too long: to send a request, or to take its answer. */
+    void sweep() {
+        ServerExchange current = open;
+        double waited = (System.nanoTime() - since) / 1e9;
+        boolean late = waited > limits.requestSeconds();
+        if (current == null && late && waited < 2 * limits.requestSeconds()) {
+            close();
+        } else if (current == null && late) {
+            // Still here: the rest of a body that was refused keeps coming.
+            session.close(CloseMode.GRACEFUL);
+        } else if (current != null && (late && !current.whole() || current.stalled(limits.stallSeconds()))) {
+            session.close(CloseMode.GRACEFUL);
+        }
+    }
+
+    /** Ends it where no request is open; one that has come meanwhile is still answered. */
+    void close() {
+        if (begun && open == null) {
+            session.close(CloseMode.GRACEFUL);
+        } else {
+            session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
+        }
+    }
+}
--- a/src/main/java/dunlinladder/wire/Server.java
+++ b/src/main/java/dunlinladder/wire/Server.java
@@ -1,30 +1,30 @@
 package dunlinladder.wire;
 
+import dunlinladder.core.Limits;
 import java.io.IOException;
-import java.lang.reflect.InvocationTargetException;
-import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.function.Supplier;
+import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
-import org.apache.hc.core5.http.nio.command.ShutdownCommand;
-import org.apache.hc.core5.http.protocol.HttpContext;
-import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestValidateHost;
 import org.apache.hc.core5.http.protocol.ResponseContent;
 import org.apache.hc.core5.http.protocol.ResponseDate;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
+import org.apache.hc.core5.reactor.IOWorkerStats;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import org.slf4j.Logger;
@@ -35,75 +35,75 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Server.class);
 
+    // ResponseConnControl is left out: it closes the connection after every 503.
+    private final HttpProcessor processor = HttpProcessorBuilder.create().add(new RequestValidateHost())
+            .addAll(new ResponseContent(), new ResponseDate()).build();
+    private final Http1Config config;
     private final HttpAsyncServer server;
-    /** By the session's id: a decorated session is not equal to the bare one. */
-    private final Map<String, Connection> connections = new ConcurrentHashMap<>();
-    /** The latest exchange of each client address. */
-    private final Map<SocketAddress, ServerExchange> current = new ConcurrentHashMap<>();
+    private final Map<String, ClientConnection> connections = new ConcurrentHashMap<>();
+    /** Accepted connections that their reactor has not yet taken up. */
+    private final AtomicInteger handedOver = new AtomicInteger();
+    private final Limits limits;
     private final int most;
+    private final Supplier<? extends ServerExchange> exchanges;
     private ListenerEndpoint endpoint;
 
-    /** A session and its client, whose address a closed session no longer tells. */
-    private record Connection(IOSession session, SocketAddress client) { }
-
     /** Creates a server for so many connections; each request gets an exchange of its own. */
-    public Server(int mostConnections, Supplier<? extends ServerExchange> exchanges) {
-        most = mostConnections;
-        server = AsyncServerBootstrap.bootstrap()
-                .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-                        .setSoReuseAddress(true).setBacklogSize(1024).setSoTimeout(Timeout.DISABLED)
-                        .setSelectInterval(TimeValue.ofMilliseconds(50)).build())
-                .setHttp1Config(Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100)
-                        .setMaxLineLength(16 * 1024).build())
-                // ResponseConnControl is left out: it closes the connection after every 503.
-                .setHttpProcessor(HttpProcessorBuilder.create().add(new RequestValidateHost())
-                        .addAll(new ResponseContent(), new ResponseDate()).build())
-                .setRequestRouter((request, context) -> () -> track(context, exchanges.get()))
-                .setIOSessionDecorator(this::noticeEnd)
-                .setIOSessionListener(new Sessions())
-                .setExceptionCallback(e -> LOG.warn("server: {}", e.toString()))
-                .create();
+    public Server(int mostConnections, Limits limits, Supplier<? extends ServerExchange> exchanges) {
+        this.most = mostConnections;
+        this.limits = limits;
+        this.exchanges = exchanges;
+        config = Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100)
+                .setMaxLineLength(limits.headBytes()).build();
+        server = new HttpAsyncServer(this::connection, IOReactorConfig.custom().setIoThreadCount(1)
+                .setTcpNoDelay(true).setSoReuseAddress(true).setBacklogSize(1024)
+                .setSoTimeout(Timeout.DISABLED).setSelectInterval(TimeValue.ofMilliseconds(50)).build(), null,
+                e -> LOG.warn("server: {}", e.toString()), new Ends(), null, this::admit, "localhost");
         server.start();
     }
 
-    /** Remembers the latest exchange of each connection, to be told when the client closes it. */
-    private ServerExchange track(HttpContext context, ServerExchange exchange) {
-        current.put(HttpCoreContext.cast(context).getEndpointDetails().getRemoteAddress(), exchange);
-        return exchange;
-    }
-
     /**
-     * HttpCore takes the end of a client's input for a graceful shutdown and lets the answer run on, unheard.
-     * Here a client that closes has gone away: its exchange ends with the read that finds the end.
+     * Runs on the accepting thread before a connection is handed to its reactor. While there are too many,
+     * the one that has been without a request longest is closed, and the next ones wait in the listen queue:
+     * HttpCore's listener would accept them all, and ends for good when the descriptors run out.
      */
-    private IOSession noticeEnd(IOSession session) {
-        return (IOSession) Proxy.newProxyInstance(IOSession.class.getClassLoader(),
-                new Class<?>[] {IOSession.class}, (proxy, method, arguments) -> {
-                    try {
-                        Object result = method.invoke(session, arguments);
-                        if (method.getName().equals("read") && Integer.valueOf(-1).equals(result)) {
-                            ServerExchange left = current.get(session.getRemoteAddress());
-                            if (left != null && left.close()) {
-                                session.close(CloseMode.IMMEDIATE);
-                            }
-                        }
-                        return result;
-                    } catch (InvocationTargetException e) {
-                        throw e.getCause();
-                    }
-                });
+    private int admit(IOWorkerStats[] workers) {
+        handedOver.incrementAndGet();
+        try {
+            while (connections.size() + handedOver.get() > most) {
+                connections.values().stream().filter(each -> each.idle() > limits.evictSeconds())
+                        .max(Comparator.comparingDouble(ClientConnection::idle))
+                        .ifPresent(ClientConnection::close);
+                Thread.sleep(1);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return 0;
+    }
+
+    private IOEventHandler connection(ProtocolIOSession session, Object attachment) {
+        ClientConnection connection = new ClientConnection(session, limits, config, exchanges);
+        connections.put(session.getId(), connection);
+        handedOver.decrementAndGet();
+        return connection.handler(processor, config);
     }
 
     /** Listens; returns the port, which the system chooses where 0 was asked for. */
     public int listen(InetSocketAddress address) throws IOException, InterruptedException {
         try {
-            endpoint = server.listen(address).get();
+            endpoint = server.listen(address, URIScheme.HTTP).get();
             return ((InetSocketAddress) endpoint.getAddress()).getPort();
         } catch (ExecutionException e) {
             throw new IOException("cannot listen on " + address + ": " + e.getCause().getMessage(), e);
         }
     }
 
+    /** Closes the connections of clients that take too long; to be called often. */
+    public void sweep() {
+        connections.values().forEach(ClientConnection::sweep);
+    }
+
     /** Stops accepting connections. */
     public void stopListening() throws IOException {
         endpoint.close();
@@ -111,8 +111,7 @@
 
     /** Closes the connections on which nothing is going on; the others close after their answer. */
     public void closeIdle() {
-        connections.values().forEach(each -> each.session.enqueue(ShutdownCommand.GRACEFUL,
-                Command.Priority.NORMAL));
+        connections.values().forEach(ClientConnection::close);
     }
 
     @Override
@@ -120,24 +119,17 @@
         server.close(CloseMode.IMMEDIATE);
     }
 
-    /** Counts connections; what comes over the limit is closed before anything of it is read. */
-    private final class Sessions implements IOSessionListener {
+    /** Forgets connections that have ended. */
+    private final class Ends implements IOSessionListener {
 
         @Override
         public void connected(IOSession session) {
-            connections.put(session.getId(), new Connection(session, session.getRemoteAddress()));
-            if (connections.size() > most) {
-                LOG.warn("over {} client connections", most);
-                session.close(CloseMode.IMMEDIATE);
-            }
+            // Known since its handler was made.
         }
 
         @Override
         public void disconnected(IOSession session) {
-            Connection ended = connections.remove(session.getId());
-            if (ended != null) {
-                current.remove(ended.client);
-            }
+            connections.remove(session.getId());
         }
 
         @Override
@@ -147,17 +139,17 @@
 
         @Override
         public void inputReady(IOSession session) {
-            // Counting only.
+            // Ends only.
         }
 
         @Override
         public void outputReady(IOSession session) {
-            // Counting only.
+            // Ends only.
         }
 
         @Override
         public void timeout(IOSession session) {
-            // Counting only.
+            // Ends only.
         }
 
         @Override
--- a/src/main/java/dunlinladder/wire/ServerExchange.java
+++ b/src/main/java/dunlinladder/wire/ServerExchange.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
 import org.apache.hc.core5.http.ConnectionClosedException;
@@ -38,10 +39,17 @@
     private final Dispatcher dispatcher;
     private final BooleanSupplier closing;
     private final int mostBody;
+    private final long mostBodies;
+    private final AtomicLong bodies;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpRequest request;
     private volatile String requestId;
     private long received;
+    private int counted;
+    /** Answered before its body was here, which is then read and thrown away. */
+    private boolean refused;
+    private volatile boolean whole;
+    private Runnable onOver = () -> { };
     private ResponseChannel response;
     private HttpContext context;
 
@@ -51,14 +59,36 @@
     private boolean ending;
     private boolean broken;
     private boolean over;
+    private long progressAt;
 
     private record Piece(ByteBuffer bytes, IntConsumer taken) { }
 
-    /** Creates an exchange; {@code closing} tells whether connections are to close with their answer. */
-    protected ServerExchange(Dispatcher dispatcher, Limits limits, BooleanSupplier closing) {
+    /**
+     * Creates an exchange; {@code closing} tells whether connections are to close with their answer,
+     * {@code bodies} counts the bytes of all bodies that are held.
+     */
+    protected ServerExchange(Dispatcher dispatcher, Limits limits, BooleanSupplier closing,
+            AtomicLong bodies) {
         this.dispatcher = dispatcher;
         this.closing = closing;
         this.mostBody = limits.bodyBytes();
+        this.mostBodies = limits.bodiesBytes();
+        this.bodies = bodies;
+    }
+
+    /** Has {@code task} run, without waiting, when the exchange is over. */
+    final void onOver(Runnable task) {
+        onOver = task;
+    }
+
+    /** Whether the request is here in full. */
+    final boolean whole() {
+        return whole;
+    }
+
+    /** Whether the client has taken nothing of its answer for so long. */
+    final synchronized boolean stalled(double seconds) {
+        return !pieces.isEmpty() && System.nanoTime() - progressAt > seconds * 1e9;
     }
 
     /** Has the core take a request, which ends with this exchange; false when its id is in use. */
@@ -87,6 +117,9 @@
     /** The body is too long; nothing of it is kept. */
     protected abstract void tooLong();
 
+    /** Final answer: trying again is harmless. */
+    public abstract void refuse(double retryAfter);
+
     // ---- Answers ----
 
     /** Sends a whole answer. */
@@ -111,7 +144,7 @@
         }
         HttpResponse head = new BasicHttpResponse(status);
         headers.forEach(head::setHeader);
-        if (closing.getAsBoolean()) {
+        if (closing.getAsBoolean() || refused) {
             head.setHeader("Connection", "close");
         }
         try {
@@ -127,6 +160,7 @@
             if (over || ending || broken) {
                 return;
             }
+            progressAt = pieces.isEmpty() ? System.nanoTime() : progressAt;
             pieces.add(new Piece(bytes, taken));
         }
         flush();
@@ -179,11 +213,11 @@
                         return;
                     }
                     if (broken && !over) {
-                        over = true;
+                        endExchange();
                         throw new ConnectionClosedException("the stream broke");
                     }
                     if (ending && !over) {
-                        over = true;
+                        endExchange();
                         channel.endStream();
                     }
                     return;
@@ -196,6 +230,7 @@
             }
             if (written > 0) {
                 wrote = true;
+                progressAt = System.nanoTime();
                 taken.accept(written);
             }
         } while (written > 0);
@@ -209,10 +244,17 @@
         request = head;
         response = channel;
         context = exchangeContext;
+        if (entity != null && entity.getContentLength() > mostBody) {
+            // Known from the head: a client with 60 MB to send need not send them first.
+            refused = true;
+            tooLong();
+            return;
+        }
         if ("100-continue".equalsIgnoreCase(header(head, "Expect"))) {
             channel.sendInformation(new BasicHttpResponse(100), context);
         }
         if (entity == null) {
+            whole = true;
             received(request, new byte[0]);
         }
     }
@@ -222,28 +264,44 @@
         channel.update(Integer.MAX_VALUE);
     }
 
-    /** A body that is too long is read to its end all the same: a close midway would lose the answer. */
+    /**
+     * What follows a refusal is read for a while all the same: a close midway could lose the answer. The sum
+     * of all bodies is bounded, as many clients with long bodies would fill the memory.
+     */
     @Override
     public final void consume(ByteBuffer source) throws IOException {
-        received += source.remaining();
-        if (received <= mostBody) {
-            byte[] bytes = new byte[source.remaining()];
-            source.get(bytes);
-            body.write(bytes);
-        } else {
+        int size = source.remaining();
+        received += size;
+        if (!refused && received > mostBody) {
+            refused = true;
+            tooLong();
+        } else if (!refused && !hold(size)) {
+            refused = true;
+            refuse(0);
+        }
+        if (refused) {
             body.reset();
             source.position(source.limit());
             if (received > 16L * mostBody) {
                 throw new ConnectionClosedException("the body has no end");
             }
+        } else {
+            byte[] bytes = new byte[size];
+            source.get(bytes);
+            body.write(bytes);
         }
     }
 
+    private synchronized boolean hold(int size) {
+        boolean room = !over && bodies.addAndGet(size) <= mostBodies;
+        counted += over ? 0 : size;
+        return room;
+    }
+
     @Override
     public final void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
-        if (received > mostBody) {
-            tooLong();
-        } else {
+        if (!refused) {
+            whole = true;
             received(request, body.toByteArray());
         }
     }
@@ -258,13 +316,20 @@
         close();
     }
 
+    private synchronized void endExchange() {
+        over = true;
+        bodies.addAndGet(-counted);
+        counted = 0;
+        onOver.run();
+    }
+
     /** Ends the exchange; false when it was over. */
     final boolean close() {
         synchronized (this) {
             if (over) {
                 return false;
             }
-            over = true;
+            endExchange();
             pieces.clear();
         }
         if (requestId != null) {
--- a/src/main/java/dunlinladder/wire/chat/ChatExchange.java
+++ b/src/main/java/dunlinladder/wire/chat/ChatExchange.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
 import org.apache.hc.core5.http.HttpRequest;
@@ -25,7 +26,7 @@
 
     /** What all exchanges of this front share. */
     public record Shared(Dispatcher dispatcher, ChatSettings settings, Clock clock, Limits limits,
-            BooleanSupplier closing) { }
+            BooleanSupplier closing, AtomicLong bodies) { }
 
     private final Shared shared;
     private final EventReader events = new EventReader(this::event);
@@ -41,7 +42,7 @@
 
     /** Creates the exchange for one request. */
     public ChatExchange(Shared shared) {
-        super(shared.dispatcher, shared.limits, shared.closing);
+        super(shared.dispatcher, shared.limits, shared.closing, shared.bodies);
         this.shared = shared;
     }
 
--- a/src/main/java/dunlinladder/wire/platform/PlatformExchange.java
+++ b/src/main/java/dunlinladder/wire/platform/PlatformExchange.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
 import org.apache.hc.core5.http.HttpRequest;
@@ -21,14 +22,14 @@
 
     /** What all exchanges of this front share. */
     public record Shared(Dispatcher dispatcher, RequestReader reader, Clock clock, Limits limits,
-            BooleanSupplier draining, BooleanSupplier closing) { }
+            BooleanSupplier draining, BooleanSupplier closing, AtomicLong bodies) { }
 
     private final Shared shared;
     private boolean open;
 
     /** Creates the exchange for one request. */
     public PlatformExchange(Shared shared) {
-        super(shared.dispatcher, shared.limits, shared.closing);
+        super(shared.dispatcher, shared.limits, shared.closing, shared.bodies);
         this.shared = shared;
     }
 
--- a/src/main/java/dunlinladder/wire/platform/RequestReader.java
+++ b/src/main/java/dunlinladder/wire/platform/RequestReader.java
@@ -8,11 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.UnaryOperator;
+import java.util.regex.Pattern;
 
 /** Reads the platform's request headers. */
 public final class RequestReader {
 
     private static final int MOST_ID = 128;
+    /** Java's own reading also takes hexadecimal, exponents and a trailing d. */
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
     private final List<String> classes;
     private final List<Double> deadlines;
     private final List<String> tenants;
@@ -57,13 +60,8 @@
     }
 
     private static double number(String text, String header) {
-        try {
-            double value = Double.parseDouble(text.trim());
-            if (value >= 0 && value < 1e9) {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // Said below.
+        if (NUMBER.matcher(text).matches()) {
+            return Double.parseDouble(text);
         }
         throw new BadInput(header + " is not a number from 0 on: " + text);
     }
--- a/src/test/java/dunlinladder/it/RulesTest.java
+++ b/src/test/java/dunlinladder/it/RulesTest.java
@@ -6,6 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dunlinladder.it.StandIn.Browser;
+import java.io.OutputStream;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -13,6 +17,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The platform's rules against the running program, a test for each. */
 @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -187,6 +192,82 @@
         assertEquals(0, running.reader.seen.size() + running.atWriters("POST", ""));
     }
 
+    /** Each ends in an error or a close, and what stands behind or within is neither served nor sent on. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 4|Transfer-Encoding: chunked||0||POST", "Content-Length: -4||",
+        "Content-Length: 4|Content-Length: 4||", "Transfer-Encoding: chunked||zz|",
+        "Content-Length: 70000000||",
+        "Transfer-Encoding: chunked||FFFFFFFF|", "Endless: ", "Content-Length: 400||half", "A|", ""})
+    void whatCannotBeReadEndsItsConnection(String rest) throws Exception {
+        String hidden = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + Running.headers(
+                Running.freshId(), "lookup", "4.0") + "Content-Length: 6\r\n\r\nhidden";
+        try (Browser bad = new Browser(running.port); Browser good
+                = running.post(id, "lookup", "4.0", "{}")) {
+            OutputStream out = bad.socket.getOutputStream();
+            out.write(("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + Running.headers(
+                    Running.freshId(), "lookup", "4.0") + rest.replace("|", "\r\n")).getBytes());
+            // What can be read whole has the hidden request behind it, an endless head goes on and on.
+            String more = rest.contains("||") ? hidden : "x".repeat(40_000);
+            if (!rest.contains("half") && !rest.isEmpty() && !rest.equals("A|")) {
+                out.write(more.getBytes());
+            }
+            assertTrue(!bad.head() || bad.status >= 400, "status " + bad.status);
+            while (bad.socket.getInputStream().read() >= 0) {
+                Thread.onSpinWait();
+            }
+        } catch (SocketException e) {
+            // A reset is an end too.
+        }
+        assertEquals(200, plain());
+        assertEquals(0, running.reader.count("POST", "hidden") + running.reader.count("POST", "half"));
+    }
+
+    /** Clients that connect and say nothing make room for those that ask, and are closed in the end. */
+    @Test
+    void silentConnectionsMakeRoom() throws Exception {
+        List<Browser> silent = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            silent.add(new Browser(running.port));
+        }
+        assertEquals(200, plain());
+        for (Browser each : silent) {
+            assertFalse(each.head());
+            each.close();
+        }
+    }
+
+    @Test
+    void requestsThatDoNotWaitAreRefusedAndTheFirstIsAnswered() throws Exception {
+        try (Browser hasty = running.post(id, "lookup", "4.0", "plain first")) {
+            for (int i = 0; i < 50; i++) {
+                hasty.send("POST", "/v1/chat/completions",
+                        Running.headers(Running.freshId(), "lookup", "4.0"), "hasty");
+            }
+            assertTrue(hasty.head());
+            assertEquals(200, hasty.status);
+            assertTrue(hasty.body().endsWith("[DONE]\n\n"));
+            assertTrue(hasty.head());
+            assertEquals(503, hasty.status);
+            assertEquals("close", hasty.headers.get("Connection"));
+        }
+        assertEquals(0, running.reader.count("POST", "hasty"));
+    }
+
+    @Test
+    void anIdThatIsOpenIsRefusedAndTheFirstUnharmed() throws Exception {
+        try (Browser first = running.post(id, "listing", "9.0", "cut later"); Browser second
+                = running.post(id, "listing", "9.0", "again")) {
+            assertTrue(second.head());
+            assertEquals(400, second.status);
+            second.close();
+            assertTrue(first.head());
+            assertEquals(200, first.status);
+            running.writers.forEach(w -> w.firstSeen = true);
+            assertTrue(first.body().startsWith(StandIn.delta("one", "null")));
+        }
+        assertEquals(0, running.reader.count("POST", "again"));
+    }
+
     @Test
     void terminationFinishesWhatWasTaken() throws Exception {
         Browser streaming = running.post(id, "listing", "5.0", "pause");
--- /dev/null
+++ b/src/test/java/dunlinladder/wire/Input.java
@@ -0,0 +1,88 @@
+package dunlinladder.wire;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+import org.apache.hc.core5.http.impl.nio.ExpandableBuffer;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
+
+/** What HttpCore reads heads and chunks from; its own buffer is not public. */
+final class Input extends ExpandableBuffer implements SessionInputBuffer {
+
+    Input() {
+        super(64);
+    }
+
+    void put(String text) {
+        setInputMode();
+        ensureCapacity(buffer().position() + text.length());
+        text.chars().forEach(c -> buffer().put((byte) c));
+    }
+
+    @Override
+    public boolean hasData() {
+        return super.hasData();
+    }
+
+    @Override
+    public int length() {
+        return super.length();
+    }
+
+    @Override
+    public int fill(ReadableByteChannel channel) throws IOException {
+        setInputMode();
+        if (!buffer().hasRemaining()) {
+            expand();
+        }
+        return channel.read(buffer());
+    }
+
+    @Override
+    public int read() {
+        setOutputMode();
+        return buffer().get();
+    }
+
+    @Override
+    public int read(ByteBuffer into, int most) {
+        int read = 0;
+        for (; read < most && into.hasRemaining() && hasData(); read++) {
+            into.put((byte) read());
+        }
+        return read;
+    }
+
+    @Override
+    public int read(ByteBuffer into) {
+        return read(into, Integer.MAX_VALUE);
+    }
+
+    @Override
+    public int read(WritableByteChannel into, int most) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public int read(WritableByteChannel into) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public boolean readLine(CharArrayBuffer line, boolean end) {
+        setOutputMode();
+        int at = buffer().position();
+        while (at < buffer().limit() && buffer().get(at) != '\n') {
+            at++;
+        }
+        if (at == buffer().limit()) {
+            return false;
+        }
+        for (int c = read(); c != '\n'; c = read()) {
+            line.append((char) c);
+        }
+        return true;
+    }
+}
--- a/src/test/java/dunlinladder/wire/platform/RequestReaderTest.java
+++ b/src/test/java/dunlinladder/wire/platform/RequestReaderTest.java
@@ -47,7 +47,10 @@
     @CsvSource(nullValues = "none", value = {"X-Request-ID, none", "X-Request-ID, a/b",
             "X-Priority-Class, none",
         "X-Priority-Class, x", "X-Tenant-Id, none", "X-Timeout, ''", "X-Timeout, NaN", "X-Timeout, -1",
-        "X-Timeout, 1e400", "X-Attrs, prompt_len", "X-Attrs, prompt_len=many", "X-Attrs, max_out=-1"})
+        "X-Timeout, 1e400",
+        "X-Timeout, 0x1p3", "X-Timeout, 4d", "X-Timeout, +4", "X-Timeout, 1e1",
+        "X-Timeout, .5", "X-Timeout, Infinity", "X-Attrs, prompt_len", "X-Attrs, prompt_len=many",
+        "X-Attrs, max_out=-1"})
     void faultsNameTheirHeader(String header, String value) {
         BadInput error = assertThrows(BadInput.class, () -> read(header, value));
         assertTrue(error.getMessage().contains(header), error.getMessage());
