Pass on only whole events, bound what an engine may send, never ask DNS, forget what left

The module's refusals came from attempts that never ended; a thread dump in the midst showed the timer thread in InetAddress.getHostName under HttpHost's constructor in Connections.host: HttpCore asks DNS for the name of each engine address, which takes seconds where there is none. Ruled out: the pool's limit (211 of 352 open).

Now hosts are named by their literal address and not cached. Events cuts streams at blank lines and refuses noise, so a stream spoilt before its first event is a failed attempt and one spoilt later ends the client's connection. A report that can't be read whole is none. The module forgets servers that left, with what they kept.

--- a/src/main/java/dunlinladder/core/Limits.java
+++ b/src/main/java/dunlinladder/core/Limits.java
@@ -7,12 +7,16 @@
  * @param bodiesBytes       sum of all request bodies that are held at once
  * @param headBytes         longest head, of a request or an answer
  * @param chunkBytes        longest chunk of a body
+ * @param eventBytes        longest event of a stream
+ * @param interimAnswers    1xx answers that may go before an answer
  * @param answerBytes       longest engine answer that is kept whole (reads, errors)
  * @param requests          requests driven at once, each on a thread
  * @param clientConnections client connections held at once
  * @param engineConnections engine connections held at once, idle ones included
  * @param connectSeconds    until a connection that does not come up counts as failed
  * @param idleSeconds       after which an idle engine connection is dropped, well before its engine does
+ * @param restSeconds       from an answer's end until its connection is used again
+ * @param streamSeconds     silence in the midst of a stream after which it counts as broken
  * @param releaseSeconds    wait for the answer to a release before another engine is asked
  * @param releaseTries      engines asked to release one request
  * @param silenceSeconds    silence after which the discovery watch is opened anew
@@ -23,9 +27,10 @@
  * @param evictSeconds      without a request after which a connection may make room for another
  * @param drainSeconds      from SIGTERM until no new connection is accepted
  */
-public record Limits(int bodyBytes, long bodiesBytes, int headBytes, int chunkBytes, int answerBytes,
-        int requests, int clientConnections, int engineConnections, double connectSeconds,
-        double idleSeconds, double releaseSeconds, int releaseTries, double silenceSeconds,
-        double reconnectSeconds, double retryAfterSeconds, double requestSeconds, double stallSeconds,
-        double evictSeconds, double drainSeconds) {
+public record Limits(int bodyBytes, long bodiesBytes, int headBytes, int chunkBytes, int eventBytes,
+        int interimAnswers, int answerBytes, int requests, int clientConnections, int engineConnections,
+        double connectSeconds, double idleSeconds, double restSeconds, double streamSeconds,
+        double releaseSeconds, int releaseTries, double silenceSeconds, double reconnectSeconds,
+        double retryAfterSeconds, double requestSeconds, double stallSeconds, double evictSeconds,
+        double drainSeconds) {
 }
--- a/src/main/java/dunlinladder/decision/Logic.java
+++ b/src/main/java/dunlinladder/decision/Logic.java
@@ -932,7 +932,22 @@
                     ? settings.roleByKind().get(member.kind()) : Role.BOTH;
             w.open = member.lifecycle() == Lifecycle.ACTIVE;
         }
+        if (event.scope() != Scope.CHANGES) {
+            Set<String> named = event.members().stream().map(Member::worker).collect(Collectors.toSet());
+            forget(w -> !named.contains(w.id));
+        }
+        forget(w -> w.member.lifecycle() == Lifecycle.LEFT);
         comparedAt = Double.NaN;
         waiting.stream().toList().forEach(this::route);
     }
+
+    /** Servers leave for good and others come under new ids: what is kept of them would grow for ever. */
+    private void forget(Predicate<Worker> gone) {
+        for (Worker w : workers.values().stream().filter(gone).toList()) {
+            workers.remove(w.id);
+            sessions.values().removeIf(kept -> kept.worker == w);
+            prefixes.values().forEach(readers -> readers.remove(w));
+            prefixes.values().removeIf(Map::isEmpty);
+        }
+    }
 }
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -53,7 +53,7 @@
         this.operator = operator;
         this.limits = config.limits();
         Clock clock = new Clock();
-        Connections connections = new Connections(limits);
+        Connections connections = new Connections(limits, timer);
         EngineClient client = new EngineClient(connections, engines, clock, limits, timer);
         decisions = new Decisions(config.settings(), config.seed(), clock, client::release);
         ThreadPoolExecutor pool = new ThreadPoolExecutor(4, limits.requests(), 10, TimeUnit.SECONDS,
--- a/src/main/java/dunlinladder/wire/engine/Connections.java
+++ b/src/main/java/dunlinladder/wire/engine/Connections.java
@@ -2,16 +2,28 @@
 
 import dunlinladder.core.Engine;
 import dunlinladder.core.Limits;
+import dunlinladder.wire.ChunkReader;
+import dunlinladder.wire.HeadParser;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.nio.channels.ReadableByteChannel;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestContent;
 import org.apache.hc.core5.http.protocol.RequestTargetHost;
@@ -20,8 +32,10 @@
 import org.apache.hc.core5.pool.PoolEntry;
 import org.apache.hc.core5.pool.PoolReusePolicy;
 import org.apache.hc.core5.pool.StrictConnPool;
+import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 
@@ -34,26 +48,42 @@
 
     private final HttpAsyncRequester requester;
     private final StrictConnPool<HttpHost, IOSession> pool;
-    private final Map<String, HttpHost> hosts = new ConcurrentHashMap<>();
     private final Limits limits;
+    private final ScheduledExecutorService timer;
+    private final HttpProcessor processor = HttpProcessorBuilder.create()
+            .addAll(new RequestContent(), new RequestTargetHost()).build();
+    private final Http1Config config;
 
     /** Starts the requester. */
-    public Connections(Limits limits) {
+    public Connections(Limits limits, ScheduledExecutorService timer) {
         this.limits = limits;
+        this.timer = timer;
+        this.config = Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100)
+                .setMaxLineLength(limits.headBytes()).build();
         // The pool's own limit for a route is 5 by default; here only the total binds.
         pool = new StrictConnPool<>(limits.engineConnections(), limits.engineConnections(),
                 TimeValue.NEG_ONE_MILLISECOND, PoolReusePolicy.LIFO, IOSession::close, null);
-        requester = AsyncRequesterBootstrap.bootstrap()
-                .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
-                        .setSoTimeout(Timeout.DISABLED)
-                        .setSelectInterval(TimeValue.ofMilliseconds(50)).build())
-                .setHttp1Config(Http1Config.custom().setBufferSize(4096).build())
-                .setHttpProcessor(HttpProcessorBuilder.create()
-                        .addAll(new RequestContent(), new RequestTargetHost()).build())
-                .create();
+        requester = new HttpAsyncRequester(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
+                .setSoTimeout(Timeout.DISABLED).setSelectInterval(TimeValue.ofMilliseconds(50)).build(),
+                (session, attachment) -> handler(session), null, null, null, pool, null, null, null, null);
         requester.start();
     }
 
+    /** HttpCore's client side with our own reading of heads and chunks: an engine may send anything. */
+    private IOEventHandler handler(ProtocolIOSession session) {
+        return new ClientHttp1IOEventHandler(new ClientHttp1StreamDuplexer(session, processor, config,
+                CharCodingConfig.DEFAULT, null, new HeadParser<>(new DefaultHttpResponseParserFactory(config)
+                .create(), limits.headBytes(), limits.interimAnswers()),
+                DefaultHttpRequestWriterFactory.INSTANCE.create(), null, null, null) {
+            @Override
+            protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel,
+                    SessionInputBuffer buffer, BasicHttpTransportMetrics metrics) throws HttpException {
+                return length == -1 ? new ChunkReader(channel, buffer, limits.chunkBytes())
+                        : super.createContentDecoder(length, channel, buffer, metrics);
+            }
+        });
+    }
+
     /** What waits for a connection. */
     interface Waiting {
         void connected(PoolEntry<HttpHost, IOSession> entry);
@@ -119,10 +149,16 @@
         }
     }
 
-    /** Gives a connection back for the next request. */
+    /**
+     * Gives a connection back for the next request, after a moment: an engine may send more behind an answer
+     * than belongs to it, and that must not be taken for the next answer. What comes on a connection that
+     * waits for nothing closes it.
+     */
     void giveBack(PoolEntry<HttpHost, IOSession> entry) {
-        entry.updateExpiry(TimeValue.ofMilliseconds((long) (limits.idleSeconds() * 1000)));
-        pool.release(entry, entry.getConnection().isOpen());
+        timer.schedule(() -> {
+            entry.updateExpiry(TimeValue.ofMilliseconds((long) (limits.idleSeconds() * 1000)));
+            pool.release(entry, entry.getConnection().isOpen());
+        }, (long) (limits.restSeconds() * 1e6), TimeUnit.MICROSECONDS);
     }
 
     /** Closes a connection now, whatever it carries. */
@@ -144,17 +180,13 @@
                 Integer.parseInt(engine.address().substring(colon + 1)));
     }
 
-    private HttpHost host(String address) throws IOException {
-        HttpHost known = hosts.get(address);
-        if (known != null) {
-            return known;
-        }
+    static HttpHost host(String address) throws IOException {
         int colon = address.lastIndexOf(':');
         try {
-            HttpHost host = new HttpHost(InetAddress.getByName(address.substring(0, Math.max(0, colon))),
+            // Named by its address: without a name HttpCore asks DNS for one, which may take seconds.
+            String name = address.substring(0, Math.max(0, colon));
+            return new HttpHost(null, InetAddress.getByName(name), name,
                     Integer.parseInt(address.substring(colon + 1)));
-            hosts.put(address, host);
-            return host;
         } catch (UnknownHostException | IllegalArgumentException e) {
             throw new IOException("not an address: " + address, e);
         }
--- a/src/main/java/dunlinladder/wire/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/wire/engine/EngineCall.java
@@ -8,6 +8,8 @@
 import dunlinladder.core.Limits;
 import dunlinladder.core.Outcome;
 import dunlinladder.core.Outcome.Ending;
+import dunlinladder.wire.BadInput;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -19,9 +21,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -42,7 +46,9 @@
     private final Engines engines;
     private final Clock clock;
     private final ByteBuffer body;
-    private final Tail tail;
+    private final Limits limits;
+    private final Events events;
+    private final ByteArrayOutputStream answer = new ByteArrayOutputStream(64);
     private final CompletableFuture<Outcome> done = new CompletableFuture<>();
     private Phase phase = Phase.SENDING;
     private int status;
@@ -50,6 +56,8 @@
     private Map<String, Double> report = Map.of();
     private CapacityChannel capacity;
     private int credit;
+    private int untaken;
+    private double heardAt;
 
     EngineCall(Connections connections, Engines engines, Clock clock, Limits limits, Attempt attempt,
             Client client, Runnable first) {
@@ -61,41 +69,54 @@
         this.engines = engines;
         this.clock = clock;
         this.body = ByteBuffer.wrap(forward.body());
-        this.tail = new Tail(limits.answerBytes());
+        this.limits = limits;
+        this.events = new Events(limits.eventBytes());
     }
 
     // ---- The core's side ----
 
     @Override
     public Outcome await() throws InterruptedException {
-        try {
-            double left = Math.max(0, attempt.until() - clock.now());
-            return done.get((long) (left * 1e9), TimeUnit.NANOSECONDS);
-        } catch (TimeoutException e) {
-            giveUp(Ending.TIMEOUT, false);
-            return done.join();
-        } catch (ExecutionException e) {
-            throw new IllegalStateException(e);
+        while (true) {
+            double left = waitsUntil() - clock.now();
+            try {
+                return done.get((long) (Math.max(0, left) * 1e9), TimeUnit.NANOSECONDS);
+            } catch (TimeoutException e) {
+                if (clock.now() >= waitsUntil()) {
+                    giveUp();
+                }
+            } catch (ExecutionException e) {
+                throw new IllegalStateException(e);
+            }
         }
     }
 
-    @Override
-    public void abandon() {
-        giveUp(Ending.CANCELLED, true);
+    /**
+     * Until its stream begins, as long as the attempt may take. From then on an engine that is silent would
+     * hold its client for good; it is not silent while the client has not taken what came.
+     */
+    private synchronized double waitsUntil() {
+        return phase != Phase.STREAMING ? attempt.until()
+                : (untaken > 0 ? clock.now() : heardAt) + limits.streamSeconds();
     }
 
-    /** Once the stream has begun it belongs to the client, and only the client's leaving ends it. */
-    private void giveUp(Ending ending, boolean evenBegun) {
+    private void giveUp() {
         synchronized (this) {
-            if (done.isDone() || phase == Phase.STREAMING && !evenBegun) {
-                return;
-            }
-            settle(Outcome.of(phase == Phase.SENDING && ending == Ending.TIMEOUT
-                    ? Ending.CONNECT_FAILED : ending));
+            settle(Outcome.of(switch (phase) {
+                case SENDING -> Ending.CONNECT_FAILED;
+                case SENT -> Ending.TIMEOUT;
+                case STREAMING -> Ending.RESET;
+            }));
         }
         finish(false);
     }
 
+    @Override
+    public void abandon() {
+        settle(Outcome.of(Ending.CANCELLED));
+        finish(false);
+    }
+
     private synchronized void settle(Outcome outcome) {
         done.complete(outcome);
     }
@@ -150,9 +171,13 @@
     }
 
     @Override
-    void head(HttpResponse response) {
+    void head(HttpResponse response, EntityDetails entity) throws HttpException {
         sent();
         status = response.getCode();
+        if (status == 200 && entity != null && !entity.isChunked() && entity.getContentLength() < 0) {
+            // Its end could not be told from a break.
+            throw new ProtocolException("a stream without chunks");
+        }
         notRun = response.containsHeader("X-Not-Processed");
         Header load = response.getFirstHeader(Reports.HEADER);
         report = Reports.load(load == null ? null : load.getValue());
@@ -179,7 +204,7 @@
             credit += channel == null ? bytes : 0;
         }
         try {
-            if (channel != null) {
+            if (channel != null && bytes > 0) {
                 channel.update(bytes);
             }
         } catch (IOException e) {
@@ -190,12 +215,30 @@
     @Override
     public void consume(ByteBuffer source) throws IOException {
         int size = source.remaining();
-        ByteBuffer piece = ByteBuffer.allocate(size).put(source).flip();
-        tail.add(piece.duplicate());
         if (status != 200) {
+            for (int room = limits.answerBytes() - answer.size(); room > 0 && source.hasRemaining(); room--) {
+                answer.write(source.get());
+            }
+            source.position(source.limit());
             taken(size);
             return;
         }
+        int held = events.held();
+        try {
+            ByteBuffer whole = events.add(source);
+            // What waits for the rest of its event is not the client's to take.
+            taken(size - Math.max(0, whole.remaining() - held));
+            pass(whole, held);
+        } catch (BadInput e) {
+            throw new IOException("the stream is spoilt: " + e.getMessage());
+        }
+    }
+
+    /** Passes whole events on; {@code credited} of their bytes have been taken off the engine's window. */
+    private void pass(ByteBuffer whole, int credited) {
+        if (!whole.hasRemaining()) {
+            return;
+        }
         boolean begins;
         synchronized (this) {
             if (done.isDone()) {
@@ -203,20 +246,29 @@
             }
             begins = phase != Phase.STREAMING;
             phase = Phase.STREAMING;
+            heardAt = clock.now();
+            untaken += whole.remaining();
         }
         if (begins) {
             first.run();
         }
-        client.data(piece, this::taken);
+        int[] ahead = {credited};
+        client.data(whole, n -> {
+            synchronized (this) {
+                untaken -= n;
+                heardAt = clock.now();
+            }
+            int covered = Math.min(ahead[0], n);
+            ahead[0] -= covered;
+            taken(n - covered);
+        });
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
-        String text = tail.text();
+        String text = answer.toString(StandardCharsets.UTF_8);
         switch (status) {
-            case 200 -> settle(phase != Phase.STREAMING ? Outcome.of(Ending.RESET)
-                    : new Outcome(Ending.OK, Reports.keptInStream(text),
-                            report.isEmpty() ? Reports.loadInStream(text) : report));
+            case 200 -> served();
             case 202 -> settle(new Outcome(Ending.READ, Reports.keptInRead(text), report));
             case 410 -> settle(new Outcome(Ending.FULL, 1, report));
             case 503, 504 -> settle(new Outcome(notRun ? Ending.FULL : Ending.ERROR, 0, report));
@@ -225,28 +277,14 @@
         finish(true);
     }
 
-    /** The last bytes of an answer. */
-    private static final class Tail {
-        private final byte[] bytes;
-        private long count;
-
-        Tail(int most) {
-            bytes = new byte[most];
-        }
-
-        void add(ByteBuffer piece) {
-            while (piece.hasRemaining()) {
-                bytes[(int) (count++ % bytes.length)] = piece.get();
-            }
-        }
-
-        String text() {
-            int size = (int) Math.min(count, bytes.length);
-            byte[] ordered = new byte[size];
-            for (int i = 0; i < size; i++) {
-                ordered[i] = bytes[(int) ((count - size + i) % bytes.length)];
-            }
-            return new String(ordered, StandardCharsets.UTF_8);
+    private void served() throws IOException {
+        try {
+            int held = events.held();
+            pass(events.end(), held);
+        } catch (BadInput e) {
+            throw new IOException("the stream is spoilt: " + e.getMessage());
         }
+        settle(phase != Phase.STREAMING ? Outcome.of(Ending.RESET)
+                : new Outcome(Ending.OK, events.kept(), report.isEmpty() ? events.report() : report));
     }
 }
--- a/src/main/java/dunlinladder/wire/engine/Exchange.java
+++ b/src/main/java/dunlinladder/wire/engine/Exchange.java
@@ -95,14 +95,14 @@
             throws HttpException, IOException {
         closing = response.containsHeader("Connection")
                 && "close".equalsIgnoreCase(response.getHeader("Connection").getValue());
-        head(response);
+        head(response, entity);
         if (entity == null) {
             streamEnd(null);
         }
     }
 
     /** The answer's head. */
-    abstract void head(HttpResponse response);
+    abstract void head(HttpResponse response, EntityDetails entity) throws HttpException;
 
     @Override
     public int available() {
--- a/src/main/java/dunlinladder/wire/engine/ReleaseCall.java
+++ b/src/main/java/dunlinladder/wire/engine/ReleaseCall.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
@@ -87,7 +88,7 @@
     }
 
     @Override
-    void head(HttpResponse response) {
+    void head(HttpResponse response, EntityDetails entity) {
         if (response.getCode() < 300) {
             settle();
         } else {
--- a/src/main/java/dunlinladder/wire/engine/Reports.java
+++ b/src/main/java/dunlinladder/wire/engine/Reports.java
@@ -4,28 +4,30 @@
 import dunlinladder.wire.Json;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** Reads what engines tell beside their answers: load reports and how much of a prompt was kept. */
 final class Reports {
 
     static final String HEADER = "X-Server-Load";
 
+    private static final Pattern FIGURE = Pattern.compile(
+            "-?[0-9]{1,15}(\\.[0-9]{1,15})?([eE][+-]?[0-9]{1,2})?");
+
     private Reports() {
     }
 
-    /** Parses {@code inflight=7,queue=2}; what is not a number is left out, a null text gives none. */
+    /** Parses {@code inflight=7,queue=2}; a text that is not all figures gives none, as does null. */
     static Map<String, Double> load(String text) {
         Map<String, Double> figures = new LinkedHashMap<>();
-        for (String pair : text == null ? new String[0] : text.split(",")) {
+        for (String pair : text == null || text.isBlank() ? new String[0] : text.split(",", -1)) {
             int equals = pair.indexOf('=');
-            try {
-                double value = Double.parseDouble(pair.substring(equals + 1).trim());
-                if (equals > 0 && Double.isFinite(value)) {
-                    figures.put(pair.substring(0, equals).trim(), value);
-                }
-            } catch (NumberFormatException e) {
-                // One bad figure must not cost the others, or the answer that it came with.
+            String value = pair.substring(equals + 1).trim();
+            if (equals <= 0 || !FIGURE.matcher(value).matches()) {
+                // What stands beside a figure that can't be read is no better.
+                return Map.of();
             }
+            figures.put(pair.substring(0, equals).trim(), Double.parseDouble(value));
         }
         return figures;
     }
@@ -39,28 +41,13 @@
         }
     }
 
-    /** The kept tokens that the last events of a stream state; 0 when they do not. */
-    static double keptInStream(String tail) {
-        for (String line : tail.split("\n")) {
-            if (line.startsWith("data:") && line.contains("\"usage\"")) {
-                try {
-                    return Json.parse(line.substring(5).trim()).childOrEmpty("usage")
-                            .childOrEmpty("prompt_tokens_details").number("cached_tokens", 0);
-                } catch (BadInput e) {
-                    return 0;
-                }
-            }
-        }
-        return 0;
-    }
-
-    /** The load report in a comment line at the end of a stream; empty when there is none. */
-    static Map<String, Double> loadInStream(String tail) {
-        for (String line : tail.split("\n")) {
-            if (line.startsWith(": " + HEADER + ":")) {
-                return load(line.substring(HEADER.length() + 3).trim());
-            }
+    /** The kept tokens in an event's usage; 0 where it does not say. */
+    static double kept(Json event) {
+        try {
+            return Math.max(0, event.child("usage").childOrEmpty("prompt_tokens_details")
+                    .number("cached_tokens", 0));
+        } catch (BadInput e) {
+            return 0;
         }
-        return Map.of();
     }
 }
--- a/src/test/java/dunlinladder/decision/Fleet.java
+++ b/src/test/java/dunlinladder/decision/Fleet.java
@@ -5,6 +5,7 @@
 import dunlinladder.decision.Router.Lifecycle;
 import dunlinladder.decision.Router.Role;
 import dunlinladder.decision.Router.Status;
+import java.lang.reflect.Field;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -90,6 +91,27 @@
                 m.startedAt()));
     }
 
+    Fleet leave(String id) {
+        Router.Member m = members.get(id);
+        return change(new Router.Member(id, m.zone(), m.kind(), m.cell(), Lifecycle.LEFT, 1, m.startedAt()));
+    }
+
+    Fleet without(String id) {
+        members.remove(id);
+        return this;
+    }
+
+    /** How many servers, sessions and shared beginnings the module holds. */
+    String remembered() throws ReflectiveOperationException {
+        StringBuilder sizes = new StringBuilder();
+        for (String name : List.of("workers", "sessions", "prefixes")) {
+            Field field = Logic.class.getDeclaredField(name);
+            field.setAccessible(true);
+            sizes.append(' ').append(((Map<?, ?>) field.get(router)).size());
+        }
+        return sizes.substring(1);
+    }
+
     Fleet restart(String id) {
         Router.Member m = members.get(id);
         return change(new Router.Member(id, m.zone(), m.kind(), m.cell(), Lifecycle.ACTIVE, 1, now));
--- a/src/test/java/dunlinladder/decision/LogicTest.java
+++ b/src/test/java/dunlinladder/decision/LogicTest.java
@@ -51,6 +51,19 @@
         }
     }
 
+    /** What was kept of an engine goes with it: it would grow with every engine that is replaced. */
+    @Test
+    void enginesThatLeftAreForgotten() throws Exception {
+        Fleet fleet = pair();
+        fleet.serve(fleet.arrive("a", 7).id());
+        fleet.shared("b", 8);
+        fleet.serve("b");
+        fleet.leave("r0").leave("r1").leave("w0");
+        assertEquals("1 0 0", fleet.remembered());
+        Fleet relisted = pair().without("r0").listed();
+        assertEquals("3 0 0", relisted.remembered());
+    }
+
     @Test
     void mixedServerTakesItsShareWhole() {
         Fleet fleet = new Fleet().with("r0", 0, Role.READ).with("w0", 0, Role.WRITE)
