Notice a silent stream at any time, trust kept connections no longer once one broke

Sending and giving up now exclude each other, and a request counts as sent before its last bytes are handed over.

--- a/src/main/java/dunlinladder/core/Limits.java
+++ b/src/main/java/dunlinladder/core/Limits.java
@@ -16,6 +16,7 @@
  * @param connectSeconds    until a connection that does not come up counts as failed
  * @param idleSeconds       after which an idle engine connection is dropped, well before its engine does
  * @param restSeconds       from an answer's end until its connection is used again
+ * @param distrustSeconds   without reuse after a kept connection broke under its next request
  * @param streamSeconds     silence in the midst of a stream after which it counts as broken
  * @param releaseSeconds    wait for the answer to a release before another engine is asked
  * @param releaseTries      engines asked to release one request
@@ -29,8 +30,8 @@
  */
 public record Limits(int bodyBytes, long bodiesBytes, int headBytes, int chunkBytes, int eventBytes,
         int interimAnswers, int answerBytes, int requests, int clientConnections, int engineConnections,
-        double connectSeconds, double idleSeconds, double restSeconds, double streamSeconds,
-        double releaseSeconds, int releaseTries, double silenceSeconds, double reconnectSeconds,
-        double retryAfterSeconds, double requestSeconds, double stallSeconds, double evictSeconds,
-        double drainSeconds) {
+        double connectSeconds, double idleSeconds, double restSeconds, double distrustSeconds,
+        double streamSeconds, double releaseSeconds, int releaseTries, double silenceSeconds,
+        double reconnectSeconds, double retryAfterSeconds, double requestSeconds, double stallSeconds,
+        double evictSeconds, double drainSeconds) {
 }
--- a/src/main/java/dunlinladder/wire/engine/Connections.java
+++ b/src/main/java/dunlinladder/wire/engine/Connections.java
@@ -50,6 +50,7 @@
     private final StrictConnPool<HttpHost, IOSession> pool;
     private final Limits limits;
     private final ScheduledExecutorService timer;
+    private volatile long distrustedAt;
     private final HttpProcessor processor = HttpProcessorBuilder.create()
             .addAll(new RequestContent(), new RequestTargetHost()).build();
     private final Http1Config config;
@@ -58,6 +59,7 @@
     public Connections(Limits limits, ScheduledExecutorService timer) {
         this.limits = limits;
         this.timer = timer;
+        this.distrustedAt = System.nanoTime() - (long) (limits.distrustSeconds() * 1e9) - 1;
         this.config = Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100)
                 .setMaxLineLength(limits.headBytes()).build();
         // The pool's own limit for a route is 5 by default; here only the total binds.
@@ -86,7 +88,7 @@
 
     /** What waits for a connection. */
     interface Waiting {
-        void connected(PoolEntry<HttpHost, IOSession> entry);
+        void connected(PoolEntry<HttpHost, IOSession> entry, boolean reused);
 
         void notConnected();
     }
@@ -110,8 +112,9 @@
     }
 
     private void connect(HttpHost host, PoolEntry<HttpHost, IOSession> entry, Waiting waiting) {
-        if (entry.hasConnection() && entry.getConnection().isOpen()) {
-            waiting.connected(entry);
+        if (entry.hasConnection() && entry.getConnection().isOpen() && System.nanoTime() - distrustedAt
+                > limits.distrustSeconds() * 1e9) {
+            waiting.connected(entry, true);
             return;
         }
         entry.discardConnection(CloseMode.IMMEDIATE);
@@ -120,7 +123,7 @@
                     @Override
                     public void completed(IOSession session) {
                         entry.assignConnection(session);
-                        waiting.connected(entry);
+                        waiting.connected(entry, false);
                     }
 
                     @Override
@@ -149,6 +152,15 @@
         }
     }
 
+    /**
+     * A kept connection broke under its next request, which may have run and so may be lost. Where engines or
+     * what lies between end idle connections without a word, the next ones would break the same way: for a
+     * while each request gets a connection of its own.
+     */
+    void distrust() {
+        distrustedAt = System.nanoTime();
+    }
+
     /**
      * Gives a connection back for the next request, after a moment: an engine may send more behind an answer
      * than belongs to it, and that must not be taken for the next answer. What comes on a connection that
--- a/src/main/java/dunlinladder/wire/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/wire/engine/EngineCall.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -80,11 +81,11 @@
         while (true) {
             double left = waitsUntil() - clock.now();
             try {
-                return done.get((long) (Math.max(0, left) * 1e9), TimeUnit.NANOSECONDS);
+                // The bound moves when the stream begins and with each event: it is looked at now and then.
+                return done.get((long) (Math.max(0, Math.min(left, limits.streamSeconds() / 8)) * 1e9),
+                        TimeUnit.NANOSECONDS);
             } catch (TimeoutException e) {
-                if (clock.now() >= waitsUntil()) {
-                    giveUp();
-                }
+                giveUpIfDue();
             } catch (ExecutionException e) {
                 throw new IllegalStateException(e);
             }
@@ -100,8 +101,11 @@
                 : (untaken > 0 ? clock.now() : heardAt) + limits.streamSeconds();
     }
 
-    private void giveUp() {
+    private void giveUpIfDue() {
         synchronized (this) {
+            if (clock.now() < waitsUntil()) {
+                return;
+            }
             settle(Outcome.of(switch (phase) {
                 case SENDING -> Ending.CONNECT_FAILED;
                 case SENT -> Ending.TIMEOUT;
@@ -138,18 +142,21 @@
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context)
             throws HttpException, IOException {
+        if (done.isDone()) {
+            throw new ConnectionClosedException("given up before it was sent");
+        }
         BasicHttpRequest request = new BasicHttpRequest(forward.method(), forward.target());
         request.setAuthority(Connections.authority(attempt.engine()));
         request.setHeader("X-Request-ID", attempt.request().id());
         request.setHeader("X-Timeout", String.format(Locale.ROOT, "%.3f",
                 Math.max(0.001, attempt.until() - clock.now())));
         boolean empty = !body.hasRemaining();
-        channel.sendRequest(request, empty ? null : new BasicEntityDetails(body.remaining(),
-                forward.contentType() == null ? null : ContentType.parseLenient(forward.contentType())),
-                context);
         if (empty) {
             sent();
         }
+        channel.sendRequest(request, empty ? null : new BasicEntityDetails(body.remaining(),
+                forward.contentType() == null ? null : ContentType.parseLenient(forward.contentType())),
+                context);
     }
 
     @Override
@@ -159,13 +166,29 @@
 
     @Override
     public void produce(DataStreamChannel channel) throws IOException {
-        channel.write(body);
+        synchronized (this) {
+            // Given up meanwhile as never sent: its last byte must not go out behind that.
+            if (done.isDone()) {
+                throw new ConnectionClosedException("given up before it was sent");
+            }
+            phase = Phase.SENT;
+        }
+        try {
+            channel.write(body);
+        } finally {
+            if (body.hasRemaining()) {
+                unsent();
+            }
+        }
         if (!body.hasRemaining()) {
-            sent();
             channel.endStream();
         }
     }
 
+    private synchronized void unsent() {
+        phase = phase == Phase.SENT ? Phase.SENDING : phase;
+    }
+
     private synchronized void sent() {
         phase = phase == Phase.SENDING ? Phase.SENT : phase;
     }
--- a/src/main/java/dunlinladder/wire/engine/Exchange.java
+++ b/src/main/java/dunlinladder/wire/engine/Exchange.java
@@ -23,6 +23,8 @@
 
     private final Connections connections;
     private PoolEntry<HttpHost, IOSession> entry;
+    private boolean kept;
+    private boolean answered;
     private boolean over;
     private boolean closing;
 
@@ -41,7 +43,8 @@
     abstract void broken();
 
     @Override
-    public final void connected(PoolEntry<HttpHost, IOSession> leased) {
+    public final void connected(PoolEntry<HttpHost, IOSession> leased, boolean reused) {
+        kept = reused;
         boolean unwanted;
         synchronized (this) {
             unwanted = over;
@@ -93,6 +96,7 @@
     @Override
     public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
             throws HttpException, IOException {
+        answered = true;
         closing = response.containsHeader("Connection")
                 && "close".equalsIgnoreCase(response.getHeader("Connection").getValue());
         head(response, entity);
@@ -131,6 +135,9 @@
 
     @Override
     public final void failed(Exception cause) {
+        if (kept && !answered) {
+            connections.distrust();
+        }
         finish(false);
         broken();
     }
--- a/src/test/java/dunlinladder/it/StandIn.java
+++ b/src/test/java/dunlinladder/it/StandIn.java
@@ -86,11 +86,16 @@
         try (socket) {
             InputStream in = socket.getInputStream();
             OutputStream out = socket.getOutputStream();
+            boolean fresh = true;
             for (String first = Wire.line(in); first != null; first = Wire.line(in)) {
                 Map<String, String> headers = Wire.headers(in);
                 String body = new String(in.readNBytes(Integer.parseInt(
                         headers.getOrDefault("content-length", "0"))), StandardCharsets.UTF_8);
                 String[] words = first.split(" ");
+                if (body.contains("stale") && !fresh) {
+                    return;
+                }
+                fresh = false;
                 seen.add(new Seen(words[0], words[1], headers, body));
                 if (role.equals("discovery")) {
                     watch(out, Long.parseLong(words[1].replaceAll(".*since=", "")));
