--- a/src/main/java/dunlinladder/lifecycle/Config.java
+++ b/src/main/java/dunlinladder/lifecycle/Config.java
@@ -53,11 +53,16 @@
         if (sockets < 4 * OWN_SOCKETS) {
             throw new BadInput("limits.sockets is " + sockets + ", under " + 4 * OWN_SOCKETS);
         }
+        // A request takes a thread, with its stack and its share of the heap: some 100 KB in all.
+        long memory = file.childOrEmpty("limits").integer("memory_mb", 160);
+        if (memory < 32) {
+            throw new BadInput("limits.memory_mb is " + memory + ", under 32");
+        }
         int each = Math.min(1024, sockets - OWN_SOCKETS) / 2;
         double keepalive = positive(caps, "keepalive", 30);
         long bodies = Runtime.getRuntime().maxMemory() / 5;
         Limits limits = new Limits(256 * 1024, bodies, 16 * 1024, 1024 * 1024, 64 * 1024, 16, 4096,
-                Math.min(each, (int) caps.integer("most-held", each)),
+                (int) Math.min(Math.min(each, 2 * memory), caps.integer("most-held", each)),
                 each, each, positive(caps, "connect-timeout", 0.25), keepalive / 3, 0.02,
                 30, 4, 0.25, 4, 3, 0.2, positive(caps, "max-retry-after", 1), 2.5, 10, 0.1, 0.6);
         List<Json> classes = settings.children("classes");
--- a/src/main/java/dunlinladder/wire/engine/Exchange.java
+++ b/src/main/java/dunlinladder/wire/engine/Exchange.java
@@ -1,8 +1,10 @@
 package dunlinladder.wire.engine;
 
 import java.io.IOException;
+import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -135,7 +137,13 @@
 
     @Override
     public final void failed(Exception cause) {
-        if (kept && !answered) {
+        boolean ended;
+        synchronized (this) {
+            ended = over;
+        }
+        // What was given up here, or an answer that can't be read, says nothing of kept connections.
+        if (!ended && kept && !answered && (cause instanceof SocketException
+                || cause instanceof ConnectionClosedException)) {
             connections.distrust();
         }
         finish(false);
--- a/src/test/java/dunlinladder/it/RulesTest.java
+++ b/src/test/java/dunlinladder/it/RulesTest.java
@@ -257,8 +257,10 @@
 
     @Test
     void anIdThatIsOpenIsRefusedAndTheFirstUnharmed() throws Exception {
-        try (Browser first = running.post(id, "listing", "9.0", "cut later"); Browser second
-                = running.post(id, "listing", "9.0", "again")) {
+        try (Browser first = running.post(id, "listing", "9.0", "cut later");
+                Browser second = new Browser(running.port)) {
+            StandIn.until(() -> running.reader.count("POST", "cut later") == 1);
+            second.send("POST", "/v1/chat/completions", Running.headers(id, "listing", "9.0"), "again");
             assertTrue(second.head());
             assertEquals(400, second.status);
             second.close();
