--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -122,10 +122,12 @@
                 }
             } else {
                 if (step instanceof Step.Refuse refuse) {
-                    LOG.debug("request {} refused after {}", entry.request.id(), outcome);
+                    LOG.debug("request {} of class {} refused after {}", entry.request.id(),
+                            entry.request.serviceClass(), outcome);
                     client.refuse(refuse.retryAfter());
                 } else if (step instanceof Step.Fail) {
-                    LOG.debug("request {} failed after {}", entry.request.id(), outcome);
+                    LOG.debug("request {} of class {} failed after {}", entry.request.id(),
+                            entry.request.serviceClass(), outcome);
                     client.fail(outcome != null && outcome.ending() != Outcome.Ending.TIMEOUT
                             ? Client.Failure.ENGINE : Client.Failure.TIMEOUT);
                 }
--- a/src/test/java/dunlinladder/it/ChatTest.java
+++ b/src/test/java/dunlinladder/it/ChatTest.java
@@ -83,7 +83,8 @@
 
     @ParameterizedTest
     @CsvSource({"find, true, unclosed, 200", "list, false, cut, 502",
-        "list, false, unclosed, 502", "list, true, reset-writer, 502", "list, true, hang-writer, 504",
+        "list, false, unclosed, 502", "find, true, spoilt size, 200", "list, false, spoilt opening, 502",
+        "list, true, reset-writer, 502", "list, true, hang-writer, 504",
         "list, false, hang-reader, 429", "gone, true, plain, 404"})
     void brokenAnswersAreNotPassedOffAsWhole(String model, boolean stream, String text, int status)
             throws Exception {
--- a/src/test/java/dunlinladder/it/RulesTest.java
+++ b/src/test/java/dunlinladder/it/RulesTest.java
@@ -94,6 +94,45 @@
         assertEquals(1, running.atWriters("POST", "cut"));
     }
 
+    /** A stream spoilt after its first event ends its client's connection long before any deadline. */
+    @ParameterizedTest
+    @ValueSource(strings = {"spoilt size", "spoilt huge", "spoilt fit", "spoilt silence"})
+    void spoiltStreamEndsWithoutTheLastChunk(String what) throws Exception {
+        try (Browser browser = running.post(id, "listing", "600.0", what)) {
+            assertTrue(browser.head());
+            String body = browser.body();
+            assertTrue(body.startsWith(StandIn.delta("one", "null")) && body.endsWith("(cut)"), body);
+        }
+        StandIn.until(() -> running.writers.stream().anyMatch(w -> w.abandoned.contains(what)));
+        assertEquals(1, running.atWriters("POST", what));
+    }
+
+    /** Engines that end kept connections under the next request cost one request, not each. */
+    @Test
+    void keptConnectionsThatBreakAreNotTrusted() throws Exception {
+        int failed = 0;
+        for (int i = 0; i < 20; i++) {
+            try (Browser browser = running.post(Running.freshId(), "listing", "9.0", "stale")) {
+                assertTrue(browser.head());
+                failed += browser.status == 200 ? 0 : 1;
+                browser.body();
+            }
+        }
+        assertTrue(failed <= 1, failed + " of 20 failed");
+    }
+
+    @Test
+    void whatComesBesideAnAnswerMeetsNoOther() throws Exception {
+        for (int i = 0; i < 20; i++) {
+            try (Browser browser = running.post(Running.freshId(), "lookup", "4.0", "interim twice")) {
+                assertTrue(browser.head());
+                assertEquals(200, browser.status);
+                String body = browser.body();
+                assertTrue(body.endsWith("[DONE]\n\n") && !body.contains("\"stale\""), body);
+            }
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"pause", "hang-writer", "hang-reader"})
     void clientThatLeavesEndsItsAttemptAndWhatIsHeld(String what) throws Exception {
