One place for HttpCore's settings and for reading the held list; behaviour as it was

Server and Connections built the same Http1Config, and Gateway read the configuration's list of engines in two places (start and reload).

--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -70,7 +70,7 @@
                 operator.settings(), clock, limits, () -> closing, bodies);
         chat = operator == null ? null : new Server(clients, limits, () -> new ChatExchange(chats));
         hosts = new HostReader(config.zones(), config.kinds());
-        known = config.known().has("hosts") ? hosts.read(config.known(), true) : null;
+        known = known(config);
         watch = new Watch(config.discovery(), hosts, limits, known == null ? 0 : known.version(),
                 this::learn);
         servers = chat == null ? List.of(server) : List.of(server, chat);
@@ -100,14 +100,17 @@
         return port;
     }
 
+    /** The list of engines that a configuration holds, checked; null where it has none. */
+    private HostReader.News known(Config from) {
+        return from.known().has("hosts") ? hosts.read(from.known(), true) : null;
+    }
+
     /**
      * Takes up a new configuration: the address of discovery. What else the file says takes effect at the
      * next start, but all of it is checked, so that a file with faults changes nothing.
      */
     void reload(Config next) throws IOException {
-        if (next.known().has("hosts")) {
-            hosts.read(next.known(), true);
-        }
+        known(next);
         watch.moveTo(next.discovery());
     }
 
--- a/src/main/java/dunlinladder/wire/HeadParser.java
+++ b/src/main/java/dunlinladder/wire/HeadParser.java
@@ -1,5 +1,6 @@
 package dunlinladder.wire;
 
+import dunlinladder.core.Limits;
 import java.io.IOException;
 import java.util.Locale;
 import java.util.regex.Pattern;
@@ -11,6 +12,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 
@@ -38,6 +40,12 @@
         this.mostInterim = mostInterim;
     }
 
+    /** HttpCore's settings for both sides of the gateway, with the bounds on a head that it has itself. */
+    public static Http1Config config(Limits limits) {
+        return Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100)
+                .setMaxLineLength(limits.headBytes()).build();
+    }
+
     @Override
     public T parse(SessionInputBuffer buffer, boolean endOfStream) throws IOException, HttpException {
         if (endOfStream) {
--- a/src/main/java/dunlinladder/wire/Server.java
+++ b/src/main/java/dunlinladder/wire/Server.java
@@ -53,8 +53,7 @@
         this.most = mostConnections;
         this.limits = limits;
         this.exchanges = exchanges;
-        config = Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100)
-                .setMaxLineLength(limits.headBytes()).build();
+        config = HeadParser.config(limits);
         server = new HttpAsyncServer(this::connection, IOReactorConfig.custom().setIoThreadCount(1)
                 .setTcpNoDelay(true).setSoReuseAddress(true).setBacklogSize(1024)
                 .setSoTimeout(Timeout.DISABLED).setSelectInterval(TimeValue.ofMilliseconds(50)).build(), null,
--- a/src/main/java/dunlinladder/wire/engine/Connections.java
+++ b/src/main/java/dunlinladder/wire/engine/Connections.java
@@ -60,8 +60,7 @@
         this.limits = limits;
         this.timer = timer;
         this.distrustedAt = System.nanoTime() - (long) (limits.distrustSeconds() * 1e9) - 1;
-        this.config = Http1Config.custom().setBufferSize(4096).setMaxHeaderCount(100)
-                .setMaxLineLength(limits.headBytes()).build();
+        this.config = HeadParser.config(limits);
         // The pool's own limit for a route is 5 by default; here only the total binds.
         pool = new StrictConnPool<>(limits.engineConnections(), limits.engineConnections(),
                 TimeValue.NEG_ONE_MILLISECOND, PoolReusePolicy.LIFO, IOSession::close, null);
