--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -18,8 +18,19 @@
     private final Executor pool;
     private final Clock clock;
     private final Limits limits;
+    private final Policy policy;
     private final Map<String, Held> held = new ConcurrentHashMap<>();
 
+    /** What the deployment says of classes and machine kinds. */
+    public interface Policy {
+
+        /** Whether requests of a class must not run twice. */
+        boolean once(int serviceClass);
+
+        /** Whether machines of a kind only read, which has no effect. */
+        boolean readsOnly(int kind);
+    }
+
     /** What is kept of a request that is being driven. */
     private static final class Held {
         final Request request;
@@ -53,13 +64,14 @@
 
     /** Creates a dispatcher that drives each request on a thread of {@code pool}. */
     public Dispatcher(Decider decider, Engines engines, EngineCalls calls, Executor pool, Clock clock,
-            Limits limits) {
+            Limits limits, Policy policy) {
         this.decider = decider;
         this.engines = engines;
         this.calls = calls;
         this.pool = pool;
         this.clock = clock;
         this.limits = limits;
+        this.policy = policy;
     }
 
     /** How many requests are being driven. */
@@ -111,46 +123,81 @@
     }
 
     private void run(Held entry) throws InterruptedException {
-        Client client = entry.client;
-        Outcome outcome = null;
-        for (int number = 0;; number++) {
-            Step step = decider.pick(entry.request);
+        Request request = entry.request;
+        Trail trail = new Trail();
+        while (true) {
+            Step step = decider.pick(request);
             if (step instanceof Step.Send send) {
-                outcome = attempt(entry, number, send);
-                if (outcome == null) {
+                if (attempt(entry, trail, send)) {
                     return;
                 }
             } else {
                 if (step instanceof Step.Refuse refuse) {
-                    LOG.debug("request {} of class {} refused after {}", entry.request.id(),
-                            entry.request.serviceClass(), outcome);
-                    client.refuse(refuse.retryAfter());
+                    refuse(entry, trail, refuse);
                 } else if (step instanceof Step.Fail) {
-                    LOG.debug("request {} of class {} failed after {}", entry.request.id(),
-                            entry.request.serviceClass(), outcome);
-                    client.fail(outcome != null && outcome.ending() != Outcome.Ending.TIMEOUT
-                            ? Client.Failure.ENGINE : Client.Failure.TIMEOUT);
+                    LOG.debug("event=failed request={} class={} attempts={}", request.id(),
+                            request.serviceClass(), trail);
+                    entry.client.fail(why(trail));
                 }
                 return;
             }
         }
     }
 
-    /** Makes one attempt; null when the request is over with it. */
-    private Outcome attempt(Held entry, int number, Step.Send send) throws InterruptedException {
+    /** Whether a request that must not run twice may have run. */
+    private boolean spent(Request request, Trail trail) {
+        return policy.once(request.serviceClass()) && trail.mayHaveRun();
+    }
+
+    private boolean effect(Engine engine) {
+        return engine == null || !policy.readsOnly(engine.kind());
+    }
+
+    /**
+     * A refusal promises that asking again is harmless. It passes here alone, and only where the facts of
+     * all attempts bear it out: else the request has failed, whatever the decisions made of it.
+     */
+    private void refuse(Held entry, Trail trail, Step.Refuse refuse) {
+        Request request = entry.request;
+        if (spent(request, trail)) {
+            LOG.error("event=refusal_forbidden request={} class={} attempts={}", request.id(),
+                    request.serviceClass(), trail);
+            entry.client.fail(why(trail));
+        } else {
+            LOG.debug("event=refused request={} class={} attempts={}", request.id(), request.serviceClass(),
+                    trail);
+            entry.client.refuse(refuse.retryAfter());
+        }
+    }
+
+    private static Client.Failure why(Trail trail) {
+        return trail.last() != null && trail.last().ending() != Outcome.Ending.TIMEOUT
+                ? Client.Failure.ENGINE : Client.Failure.TIMEOUT;
+    }
+
+    /** Makes one attempt; true when the request is over with it. */
+    private boolean attempt(Held entry, Trail trail, Step.Send send) throws InterruptedException {
         Request request = entry.request;
         Engine engine = engines.find(send.engine());
         // A client that hears nothing by its deadline asks again elsewhere: the answer must be there before.
         double latest = request.deadline() - limits.answerSeconds();
         double until = send.timeout() > 0 ? Math.min(latest, clock.now() + send.timeout()) : latest;
-        Attempt attempt = new Attempt(request, number, engine, until);
-        if (engine == null) {
-            // The list lost it between the decision and here; nothing was sent.
+        Attempt attempt = new Attempt(request, trail.size(), engine != null ? engine : new Engine(
+                send.engine(), "", 0, 0, 0, Engine.State.LEFT, 0, 0), until, effect(engine));
+        boolean forbidden = spent(request, trail) && attempt.effect();
+        trail.sent(attempt, clock.now());
+        if (forbidden) {
+            // Whatever the decisions went by, the facts say that it would run a second time.
+            LOG.error("event=send_forbidden request={} class={} attempts={}", request.id(),
+                    request.serviceClass(), trail);
+        }
+        if (engine == null || forbidden) {
+            // Nothing is sent; without an engine, because the list lost it since the decision.
             boolean gone = entry.gone();
             Outcome unsent = Outcome.of(Outcome.Ending.CONNECT_FAILED);
-            decider.ended(new Attempt(request, number, new Engine(send.engine(), "", 0, 0, 0,
-                    Engine.State.LEFT, 0, 0), until), unsent, gone);
-            return gone ? null : unsent;
+            trail.ended(unsent, clock.now());
+            decider.ended(attempt, unsent, gone);
+            return gone;
         }
         boolean[] begun = {false};
         EngineCalls.Call call = calls.send(attempt, entry.client, () -> {
@@ -159,7 +206,9 @@
         });
         entry.sent(call);
         Outcome outcome = call.await();
-        LOG.debug("request {} attempt {} at {}: {}", request.id(), number, engine.id(), outcome);
+        trail.ended(outcome, clock.now());
+        LOG.debug("event=attempt request={} attempt={} engine={} outcome={}", request.id(), attempt.number(),
+                engine.id(), outcome);
         boolean ok = outcome.ending() == Outcome.Ending.OK;
         boolean last = ok || begun[0] || entry.gone();
         decider.ended(attempt, outcome, last);
@@ -170,6 +219,6 @@
                 entry.client.cut();
             }
         }
-        return last ? null : outcome;
+        return last;
     }
 }
--- a/src/main/java/dunlinladder/core/Engines.java
+++ b/src/main/java/dunlinladder/core/Engines.java
@@ -28,10 +28,11 @@
         return byId.get(id);
     }
 
-    /** Whether new work may go there now. */
-    public boolean accepts(String id) {
-        Engine engine = byId.get(id);
-        return engine != null && engine.state() == Engine.State.ACTIVE;
+    /** Whether new work may go to that engine, where it was reached when the work was decided, now. */
+    public boolean accepts(Engine engine) {
+        Engine listed = byId.get(engine.id());
+        return listed != null && listed.state() == Engine.State.ACTIVE
+                && listed.address().equals(engine.address());
     }
 
     /** All engines that are still listed. */
--- a/src/main/java/dunlinladder/core/Limits.java
+++ b/src/main/java/dunlinladder/core/Limits.java
@@ -20,8 +20,7 @@
  * @param streamSeconds     silence in the midst of a stream after which it counts as broken
  * @param releaseSeconds    wait for the answer to a release before another engine is asked
  * @param releaseTries      engines asked to release one request
- * @param silenceSeconds    silence after which the discovery watch is opened anew
- * @param reconnectSeconds  pause before the discovery watch is opened again
+ * @param gateSeconds       for which a send waits while news of the engine list is there and not yet read
  * @param retryAfterSeconds advice on refusals for which the module gives none
  * @param requestSeconds    for a client to send a request, and to be without one, before it is closed
  * @param answerSeconds     before the client's deadline at which an attempt without a first token ends
@@ -32,7 +31,7 @@
 public record Limits(int bodyBytes, long bodiesBytes, int headBytes, int chunkBytes, int eventBytes,
         int interimAnswers, int answerBytes, int requests, int clientConnections, int engineConnections,
         double connectSeconds, double idleSeconds, double restSeconds, double distrustSeconds,
-        double streamSeconds, double releaseSeconds, int releaseTries, double silenceSeconds,
-        double reconnectSeconds, double retryAfterSeconds, double requestSeconds, double answerSeconds,
+        double streamSeconds, double releaseSeconds, int releaseTries, double gateSeconds,
+        double retryAfterSeconds, double requestSeconds, double answerSeconds,
         double stallSeconds, double evictSeconds, double drainSeconds) {
 }
--- a/src/main/java/dunlinladder/core/Outcome.java
+++ b/src/main/java/dunlinladder/core/Outcome.java
@@ -11,7 +11,14 @@
 public record Outcome(Ending ending, double note, Map<String, Double> report) {
 
     /** The ways in which an attempt ends. */
-    public enum Ending { OK, READ, FULL, CONNECT_FAILED, ERROR, RESET, TIMEOUT, CANCELLED }
+    public enum Ending {
+        OK, READ, FULL, CONNECT_FAILED, ERROR, RESET, TIMEOUT, CANCELLED;
+
+        /** Whether the attempt certainly had no effect. */
+        public boolean neverRan() {
+            return this == READ || this == FULL || this == CONNECT_FAILED;
+        }
+    }
 
     /** An ending that brought no figures. */
     public static Outcome of(Ending ending) {
--- a/src/main/java/dunlinladder/lifecycle/Config.java
+++ b/src/main/java/dunlinladder/lifecycle/Config.java
@@ -2,6 +2,7 @@
 
 import dunlinladder.core.Limits;
 import dunlinladder.decision.Router;
+import dunlinladder.membership.Timing;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
 import dunlinladder.wire.sim.Wire;
@@ -16,7 +17,7 @@
 /** The gateway's configuration: read, checked and given defaults here and nowhere else. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, Json known,
         Router.Settings settings, List<String> classes, List<Double> deadlines, List<String> tenants,
-        List<String> zones, List<String> kinds, Limits limits) {
+        List<String> zones, List<String> kinds, Limits limits, Timing list) {
 
     /** Descriptors kept for the program itself: files, selectors, the watch, listeners. */
     private static final int OWN_SOCKETS = 64;
@@ -64,7 +65,7 @@
         Limits limits = new Limits(256 * 1024, bodies, 16 * 1024, 1024 * 1024, 64 * 1024, 16, 4096,
                 (int) Math.min(Math.min(each, 2 * memory), caps.integer("most-held", each)),
                 each, each, positive(caps, "connect-timeout", 0.25), keepalive / 3, 0.02,
-                30, 4, 0.25, 4, 3, 0.2, positive(caps, "max-retry-after", 1), 2.5, 0.04, 10, 0.1,
+                30, 4, 0.25, 4, 0.02, positive(caps, "max-retry-after", 1), 2.5, 0.04, 10, 0.1,
                 0.6);
         List<Json> classes = settings.children("classes");
         return new Config(environment.getOrDefault("RELAY_NAME", file.text("name", "gateway")),
@@ -77,7 +78,8 @@
                 settings.has("projects")
                         ? settings.children("projects").stream().map(p -> p.text("name")).toList()
                         : List.of(),
-                settings.texts("zones"), settings.texts("kinds"), limits);
+                settings.texts("zones"), settings.texts("kinds"), limits,
+                new Timing(0.3, 2, 2.5, 0.2, 10, 3));
     }
 
     private static long seed(Json file) {
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -4,8 +4,11 @@
 import dunlinladder.core.Decider;
 import dunlinladder.core.Dispatcher;
 import dunlinladder.core.Engines;
+import dunlinladder.core.Gate;
 import dunlinladder.core.Limits;
 import dunlinladder.decision.Decisions;
+import dunlinladder.decision.Router;
+import dunlinladder.membership.News;
 import dunlinladder.wire.Server;
 import dunlinladder.wire.chat.ChatExchange;
 import dunlinladder.wire.discovery.HostReader;
@@ -16,6 +19,7 @@
 import dunlinladder.wire.platform.RequestReader;
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.SynchronousQueue;
@@ -42,7 +46,9 @@
     private final Server chat;
     private final List<Server> servers;
     private final HostReader hosts;
-    private final HostReader.News known;
+    private final News known;
+    /** Tells the decisions of news in order; the list itself does not wait for them. */
+    private final Executor told = Executors.newSingleThreadExecutor(task -> daemon(task, "news"));
     private final Watch watch;
     private volatile boolean draining;
     private volatile boolean closing;
@@ -54,11 +60,12 @@
         this.limits = config.limits();
         Clock clock = new Clock();
         Connections connections = new Connections(limits, timer);
-        EngineClient client = new EngineClient(connections, engines, clock, limits, timer);
+        Gate gate = new Gate(engines, clock, limits.gateSeconds());
+        EngineClient client = new EngineClient(connections, engines, gate, clock, limits, timer);
         decisions = new Decisions(config.settings(), config.seed(), clock, client::release);
         ThreadPoolExecutor pool = new ThreadPoolExecutor(4, limits.requests(), 10, TimeUnit.SECONDS,
                 new SynchronousQueue<>(), task -> daemon(task, "request"));
-        dispatcher = new Dispatcher(decisions, engines, client, pool, clock, limits);
+        dispatcher = new Dispatcher(decisions, engines, client, pool, clock, limits, policy(config.settings()));
         AtomicLong bodies = new AtomicLong();
         PlatformExchange.Shared shared = new PlatformExchange.Shared(dispatcher, new RequestReader(
                 config.classes(), config.deadlines(), config.tenants()), clock, limits, () -> draining,
@@ -71,13 +78,28 @@
         chat = operator == null ? null : new Server(clients, limits, () -> new ChatExchange(chats));
         hosts = new HostReader(config.zones(), config.kinds());
         known = known(config);
-        watch = new Watch(config.discovery(), hosts, limits, known == null ? 0 : known.version(),
-                this::learn);
+        watch = new Watch(hosts, config.list(), clock, known == null ? 0 : known.version(), this::learn);
+        gate.watch(watch::unread);
         servers = chat == null ? List.of(server) : List.of(server, chat);
         timer.scheduleWithFixedDelay(() -> servers.forEach(Server::sweep), 100, 100, TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(connections::closeIdle, 1, 1, TimeUnit.SECONDS);
     }
 
+    private static Dispatcher.Policy policy(Router.Settings settings) {
+        return new Dispatcher.Policy() {
+            @Override
+            public boolean once(int serviceClass) {
+                return settings.classes().get(serviceClass).effect() == Router.Effect.UNSAFE;
+            }
+
+            @Override
+            public boolean readsOnly(int kind) {
+                return kind < settings.roleByKind().size()
+                        && settings.roleByKind().get(kind) == Router.Role.READ;
+            }
+        };
+    }
+
     private static Thread daemon(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
@@ -89,6 +111,7 @@
         if (known != null) {
             learn(known);
         }
+        watch.moveTo(config.discovery());
         daemon(watch, "discovery").start();
         daemon(this::tick, "decisions").start();
         int port = server.listen(config.listen());
@@ -101,7 +124,7 @@
     }
 
     /** The list of engines that a configuration holds, checked; null where it has none. */
-    private HostReader.News known(Config from) {
+    private News known(Config from) {
         return from.known().has("hosts") ? hosts.read(from.known(), true) : null;
     }
 
@@ -114,11 +137,14 @@
         watch.moveTo(next.discovery());
     }
 
-    /** The list is put in place before the module may send to what it names. */
-    private void learn(HostReader.News news) {
-        if (news.scope() == Decider.Scope.CHANGES || !news.engines().isEmpty()) {
+    /**
+     * The list is put in place at once, before the module may send to what it names, and holds for what is on
+     * its way to an engine; the module hears of it when its lock is free.
+     */
+    private void learn(News news) {
+        if (!news.whole() || !news.engines().isEmpty()) {
             engines.apply(news.scope(), news.engines());
-            decisions.list(news.scope(), news.engines());
+            told.execute(() -> decisions.list(news.scope(), news.engines()));
         }
     }
 
--- /dev/null
+++ b/src/main/java/dunlinladder/membership/Following.java
@@ -0,0 +1,310 @@
+package dunlinladder.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+/**
+ * How a gateway follows the engine list, as a pure function of state, event and time: which links to
+ * discovery are open, which news is taken in and in which order, and when to try again. It does no I/O; whoever
+ * drives it carries out the {@link Command}s and reports the {@link Event}s.
+ *
+ * <p>What it guards against:
+ * <ul>
+ * <li>A move to another address while news is on its way: the old link is listened to until the new one has
+ *     been heard.
+ * <li>An address that hangs: a second link is tried beside the first, the first to answer stays.
+ * <li>News of two links that overtakes itself: what is not newer than what was taken in is left aside, as each
+ *     entry says an engine's whole state and an older one would undo a drain.
+ * <li>News that could not be read or taken in: the version does not move past it, and the whole list is asked
+ *     for.
+ * <li>Discovery that begins to count anew: lists that stay behind for long are asked for from their beginning
+ *     and then taken whatever their version is.
+ * </ul>
+ *
+ * @param address where discovery is
+ * @param version of the last news taken in
+ * @param whole   whether the next link asks for the whole list
+ * @param links   the links that are open, oldest first
+ * @param nextId  the number of the next link
+ * @param retryAt clock time before which no link replaces one that ended
+ */
+public record Following(Timing timing, String address, long version, boolean whole, List<Link> links,
+        int nextId, double retryAt) {
+
+    /**
+     * One connection to discovery.
+     *
+     * @param asked    the version that it asked to go on from; 0 for the whole list
+     * @param answered whether its answer has begun
+     * @param at       clock time of its opening, and of the last thing heard once it has answered
+     * @param spoken   whether a line or a beat has come
+     * @param behindAt clock time since which its lists are older than what is held, NaN where they are not
+     */
+    public record Link(int id, String address, long asked, boolean answered, double at, boolean spoken,
+            double behindAt) {
+
+        private Link heard(double now, boolean line) {
+            return new Link(id, address, asked, true, now, spoken || line, behindAt);
+        }
+
+        private Link behind(double now) {
+            return new Link(id, address, asked, answered, at, spoken, Double.isNaN(behindAt) ? now : behindAt);
+        }
+
+        private Link level() {
+            return new Link(id, address, asked, answered, at, spoken, Double.NaN);
+        }
+    }
+
+    /** What happens to a gateway that follows the list. */
+    public sealed interface Event {
+
+        /** Discovery is at this address from now on; also the first event. */
+        record Move(String address) implements Event { }
+
+        /** A link's answer has begun. */
+        record Answered(int link) implements Event { }
+
+        /** A link brought news. */
+        record Told(int link, News news) implements Event { }
+
+        /** A link brought an empty line. */
+        record Beat(int link) implements Event { }
+
+        /** A link brought what can't be read. */
+        record Unreadable(int link) implements Event { }
+
+        /** News that was to be taken in was not; {@code before} is the version without it. */
+        record NotTaken(long before) implements Event { }
+
+        /** A link never came up, broke or ended. */
+        record Ended(int link) implements Event { }
+
+        /** Time has passed; {@link #wake} says when that matters. */
+        record Tick() implements Event { }
+    }
+
+    /** What is to be done. */
+    public sealed interface Command {
+
+        /** Opens a link to discovery that asks for what came after {@code since}, for all where that is 0. */
+        record Open(int link, String address, long since) implements Command { }
+
+        /** Closes a link; nothing that it still says counts. */
+        record Close(int link) implements Command { }
+
+        /** Takes news in; {@link Event.NotTaken} where that fails. */
+        record Take(News news, long before) implements Command { }
+    }
+
+    /** The state after an event and what is to be done, in order. */
+    public record Next(Following state, List<Command> commands) { }
+
+    /** Copies the links, so that a state never changes. */
+    public Following {
+        links = List.copyOf(links);
+    }
+
+    /** The state before the first event, holding the list of {@code version}; 0 for none. */
+    public static Following from(Timing timing, long version) {
+        return new Following(timing, null, version, false, List.of(), 0, 0);
+    }
+
+    /** The state after {@code event} at clock time {@code now}, in seconds. */
+    public Next on(Event event, double now) {
+        Step step = new Step(this, now);
+        if (event instanceof Event.Move move) {
+            step.move(move.address);
+        } else if (event instanceof Event.Answered answered) {
+            step.heard(answered.link, false);
+        } else if (event instanceof Event.Beat beat) {
+            step.heard(beat.link, true);
+        } else if (event instanceof Event.Told told) {
+            step.told(told.link, told.news);
+        } else if (event instanceof Event.Unreadable unreadable) {
+            step.unreadable(unreadable.link);
+        } else if (event instanceof Event.NotTaken failed) {
+            step.notTaken(failed.before);
+        } else if (event instanceof Event.Ended ended) {
+            step.ended(ended.link);
+        }
+        step.look();
+        return step.next();
+    }
+
+    /** Clock time of the next {@link Event.Tick} that would do something; infinite when none would. */
+    public double wake() {
+        double wake = address == null ? Double.POSITIVE_INFINITY : openAt(links, address, timing, retryAt);
+        for (Link link : links) {
+            if (!link.answered) {
+                wake = Math.min(wake, link.at + timing.openSeconds());
+            }
+            if (!Double.isNaN(link.behindAt)) {
+                wake = Math.min(wake, link.behindAt + timing.epochSeconds());
+            }
+        }
+        return wake;
+    }
+
+    /**
+     * When another link to the current address is wanted: after a pause where there is none, beside one that
+     * does not answer in time, and beside one that has fallen silent.
+     */
+    private static double openAt(List<Link> links, String address, Timing timing, double retryAt) {
+        double heard = Double.NEGATIVE_INFINITY;
+        double opened = Double.NEGATIVE_INFINITY;
+        int count = 0;
+        for (Link link : links) {
+            if (link.address.equals(address)) {
+                count++;
+                heard = link.answered ? Math.max(heard, link.at) : heard;
+                opened = link.answered ? opened : Math.max(opened, link.at);
+            }
+        }
+        return count >= timing.links() ? Double.POSITIVE_INFINITY
+                : Math.max(retryAt, Math.max(heard + timing.silenceSeconds(), opened + timing.raceSeconds()));
+    }
+
+    /** One event's work on a copy of the state. */
+    private static final class Step {
+        private final Timing timing;
+        private final double now;
+        private final List<Command> commands = new ArrayList<>();
+        private final List<Link> links;
+        private String address;
+        private long version;
+        private boolean whole;
+        private int nextId;
+        private double retryAt;
+
+        Step(Following from, double now) {
+            this.timing = from.timing;
+            this.now = now;
+            this.links = new ArrayList<>(from.links);
+            this.address = from.address;
+            this.version = from.version;
+            this.whole = from.whole;
+            this.nextId = from.nextId;
+            this.retryAt = from.retryAt;
+        }
+
+        Next next() {
+            return new Next(new Following(timing, address, version, whole, links, nextId, retryAt),
+                    List.copyOf(commands));
+        }
+
+        void move(String to) {
+            if (!to.equals(address)) {
+                address = to;
+                retryAt = now;
+            }
+        }
+
+        /** The first link to answer stays; the old address is left once the new one has said something. */
+        void heard(int id, boolean line) {
+            Link link = find(id);
+            if (link == null) {
+                return;
+            }
+            boolean first = !link.answered;
+            replace(link.heard(now, line));
+            if (current(link)) {
+                if (first) {
+                    close(other -> other.id != id && current(other));
+                }
+                if (line) {
+                    close(other -> !current(other));
+                }
+            }
+        }
+
+        void told(int id, News news) {
+            if (find(id) == null) {
+                return;
+            }
+            heard(id, true);
+            Link link = find(id);
+            boolean anew = news.whole() && link.asked == 0;
+            if (news.version() > version || anew) {
+                replace(link.level());
+                commands.add(new Command.Take(news, version));
+                version = news.version();
+                whole &= !news.whole();
+            } else if (news.version() == version) {
+                replace(link.level());
+            } else {
+                replace(link.behind(now));
+            }
+        }
+
+        /** What stood in it is not known: the whole list says it again. */
+        void unreadable(int id) {
+            if (find(id) != null) {
+                whole = true;
+                close(link -> link.id == id);
+                retryAt = now + timing.retrySeconds();
+            }
+        }
+
+        void notTaken(long before) {
+            version = Math.min(version, before);
+            whole = true;
+            close(link -> true);
+            retryAt = now + timing.retrySeconds();
+        }
+
+        void ended(int id) {
+            Link link = find(id);
+            if (link != null) {
+                links.remove(link);
+                // One that had spoken is opened again at once; one that refuses is not hammered.
+                retryAt = Math.max(retryAt, now + (link.spoken ? 0 : timing.retrySeconds()));
+            }
+        }
+
+        /** What time alone asks for. */
+        void look() {
+            if (address == null) {
+                return;
+            }
+            for (Link link : List.copyOf(links)) {
+                if (!link.answered && now - link.at >= timing.openSeconds()) {
+                    close(other -> other.id == link.id);
+                    retryAt = Math.max(retryAt, now);
+                } else if (now - link.behindAt >= timing.epochSeconds()) {
+                    whole = true;
+                    close(other -> other.id == link.id);
+                }
+            }
+            if (now >= openAt(links, address, timing, retryAt)) {
+                open();
+            }
+        }
+
+        private void open() {
+            Link link = new Link(nextId++, address, whole ? 0 : version, false, now, false, Double.NaN);
+            links.add(link);
+            commands.add(new Command.Open(link.id, link.address, link.asked));
+        }
+
+        private boolean current(Link link) {
+            return link.address.equals(address);
+        }
+
+        private Link find(int id) {
+            return links.stream().filter(link -> link.id == id).findFirst().orElse(null);
+        }
+
+        private void replace(Link link) {
+            links.replaceAll(old -> old.id == link.id ? link : old);
+        }
+
+        private void close(Predicate<Link> which) {
+            for (Link link : links.stream().filter(which).toList()) {
+                links.remove(link);
+                commands.add(new Command.Close(link.id));
+            }
+        }
+    }
+}
--- a/src/main/java/dunlinladder/wire/discovery/HostReader.java
+++ b/src/main/java/dunlinladder/wire/discovery/HostReader.java
@@ -2,6 +2,7 @@
 
 import dunlinladder.core.Decider;
 import dunlinladder.core.Engine;
+import dunlinladder.membership.News;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
 import java.util.ArrayList;
@@ -19,9 +20,6 @@
         this.kinds = kinds;
     }
 
-    /** One message of discovery. */
-    public record News(long version, Decider.Scope scope, List<Engine> engines) { }
-
     /** Translates a message; {@code cached} when it is a list from before the start. */
     public News read(Json message, boolean cached) {
         List<Engine> engines = new ArrayList<>();
--- a/src/main/java/dunlinladder/wire/discovery/Watch.java
+++ b/src/main/java/dunlinladder/wire/discovery/Watch.java
@@ -1,6 +1,11 @@
 package dunlinladder.wire.discovery;
 
-import dunlinladder.core.Limits;
+import dunlinladder.core.Clock;
+import dunlinladder.membership.Following;
+import dunlinladder.membership.Following.Command;
+import dunlinladder.membership.Following.Event;
+import dunlinladder.membership.News;
+import dunlinladder.membership.Timing;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
 import java.io.BufferedReader;
@@ -9,6 +14,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
@@ -18,108 +25,178 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows discovery on a thread of its own. A watch that ends, breaks or falls silent is opened again from
- * the last version; until there is news the last list stands.
+ * Follows discovery over HTTP as {@link Following} says, each link on a thread of its own. Until there is news
+ * the last list stands. News is taken in by the thread that read it, so that nothing waits behind it.
  */
 public final class Watch implements Runnable {
 
     private static final Logger LOG = LoggerFactory.getLogger(Watch.class);
+    /** Shortest and longest sleep between looks at the clock, in seconds. */
+    private static final double SLEEP_LEAST = 0.02;
+    private static final double SLEEP_MOST = 1;
 
     private final HostReader reader;
-    private final Limits limits;
-    private final Consumer<HostReader.News> news;
-    private long version;
-    /** Where discovery is now, and the connection to it; both change when the configuration does. */
-    private InetSocketAddress address;
-    private Socket open;
-
-    /** Creates a watch for what came after {@code version}. */
-    public Watch(InetSocketAddress address, HostReader reader, Limits limits, long version,
-            Consumer<HostReader.News> news) {
-        this.address = address;
+    private final Timing timing;
+    private final Clock clock;
+    private final Consumer<News> news;
+    private final Map<Integer, Link> open = new ConcurrentHashMap<>();
+    private Following state;
+
+    /** Creates a watch for what came after {@code version}; {@code news} is told in order, one at a time. */
+    public Watch(HostReader reader, Timing timing, Clock clock, long version, Consumer<News> news) {
         this.reader = reader;
-        this.limits = limits;
-        this.version = version;
+        this.timing = timing;
+        this.clock = clock;
         this.news = news;
+        this.state = Following.from(timing, version);
+    }
+
+    /** Follows discovery at this address from now on; nothing is missed on the way. */
+    public void moveTo(InetSocketAddress next) {
+        String address = next.getAddress().getHostAddress() + ":" + next.getPort();
+        LOG.info("discovery is at {}", address);
+        on(new Event.Move(address));
+    }
+
+    /** Looks at the clock until it is interrupted. */
+    @Override
+    public void run() {
+        try {
+            while (true) {
+                on(new Event.Tick());
+                synchronized (this) {
+                    double left = Math.min(SLEEP_MOST, state.wake() - clock.now());
+                    wait((long) (Math.max(SLEEP_LEAST, left) * 1e3));
+                }
+            }
+        } catch (InterruptedException e) {
+            open.values().forEach(Link::close);
+        }
     }
 
     /**
-     * Follows discovery at another address from now on. The open watch is closed without waiting for its end:
-     * the old address may fall silent long before it closes. Nothing is missed, as the next watch asks for
-     * what came after the last version.
+     * Whether discovery has written what is not yet read. A send that is about to start waits for it: what
+     * is told counts from when it was written, however long the reading thread has to wait for a core.
      */
-    public synchronized void moveTo(InetSocketAddress next) throws IOException {
-        if (!next.equals(address)) {
-            LOG.info("discovery moves from {} to {}", address, next);
-            address = next;
-            if (open != null) {
-                open.close();
+    public boolean unread() {
+        for (Link link : open.values()) {
+            if (link.unread()) {
+                return true;
             }
-            notifyAll();
         }
+        return false;
     }
 
-    @Override
-    public void run() {
-        while (!Thread.currentThread().isInterrupted()) {
-            InetSocketAddress asked = address();
-            try {
-                follow(asked);
-                LOG.info("discovery ended the watch at version {}", version);
-            } catch (IOException | HttpException | BadInput e) {
-                LOG.warn("discovery watch at version {}: {}", version, e.toString());
-            }
-            try {
-                pause(asked);
-            } catch (InterruptedException e) {
+    private synchronized void on(Event event) {
+        Following.Next next = state.on(event, clock.now());
+        state = next.state();
+        for (Command command : next.commands()) {
+            if (command instanceof Command.Open wanted) {
+                new Link(wanted).start();
+            } else if (command instanceof Command.Close close) {
+                Link link = open.remove(close.link());
+                if (link != null) {
+                    link.close();
+                }
+            } else if (command instanceof Command.Take take && !taken(take.news())) {
+                on(new Event.NotTaken(take.before()));
                 return;
             }
         }
+        notifyAll();
     }
 
-    private synchronized InetSocketAddress address() {
-        return address;
+    private boolean taken(News told) {
+        try {
+            news.accept(told);
+            return true;
+        } catch (RuntimeException e) {
+            LOG.error("list version {} could not be taken in; the whole list is asked for", told.version(), e);
+            return false;
+        }
     }
 
-    /** Waits a little before the same address is asked again, not at all for another. */
-    private synchronized void pause(InetSocketAddress asked) throws InterruptedException {
-        if (asked.equals(address)) {
-            wait((long) (limits.reconnectSeconds() * 1000));
+    /** One connection to discovery. */
+    private final class Link implements Runnable {
+        private final Command.Open wanted;
+        private final Socket socket = new Socket();
+
+        Link(Command.Open wanted) {
+            this.wanted = wanted;
         }
-    }
 
-    private synchronized void opened(Socket socket, InetSocketAddress asked) throws IOException {
-        if (!asked.equals(address)) {
-            throw new IOException("discovery has moved");
+        void start() {
+            open.put(wanted.link(), this);
+            Thread thread = new Thread(this, "discovery-" + wanted.link());
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        void close() {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                LOG.debug("closing a link to discovery: {}", e.toString());
+            }
+        }
+
+        boolean unread() {
+            try {
+                return socket.isConnected() && !socket.isClosed() && socket.getInputStream().available() > 0;
+            } catch (IOException e) {
+                return false;
+            }
         }
-        open = socket;
-    }
 
-    private void follow(InetSocketAddress asked) throws IOException, HttpException {
-        try (Socket socket = new Socket(); DefaultBHttpClientConnection connection
-                = new DefaultBHttpClientConnection(null)) {
-            opened(socket, asked);
-            int silence = (int) (limits.silenceSeconds() * 1000);
-            socket.connect(asked, silence);
-            socket.setSoTimeout(silence);
-            connection.bind(socket);
-            BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET",
-                    "/discovery/hosts?follow=1&since=" + version);
-            request.setHeader("Host", asked.getHostString() + ":" + asked.getPort());
-            connection.sendRequestHeader(request);
-            connection.flush();
-            ClassicHttpResponse response = connection.receiveResponseHeader();
-            if (response.getCode() != 200) {
-                throw new IOException("status " + response.getCode());
+        @Override
+        public void run() {
+            Event end = new Event.Ended(wanted.link());
+            try {
+                follow();
+                LOG.info("discovery at {} ended its watch", wanted.address());
+            } catch (IOException | HttpException e) {
+                if (open.get(wanted.link()) == this) {
+                    LOG.warn("discovery at {}: {}", wanted.address(), e.toString());
+                }
+            } catch (BadInput e) {
+                LOG.warn("discovery at {} sent what can't be read, the whole list is asked for: {}",
+                        wanted.address(), e.getMessage());
+                end = new Event.Unreadable(wanted.link());
+            } catch (RuntimeException | OutOfMemoryError e) {
+                // This thread must not end in silence: without its link the list would stand still for good.
+                LOG.error("discovery at {}", wanted.address(), e);
+                end = new Event.Unreadable(wanted.link());
+            } finally {
+                open.remove(wanted.link(), this);
+                close();
+                on(end);
             }
-            connection.receiveResponseEntity(response);
-            BufferedReader lines = new BufferedReader(new InputStreamReader(response.getEntity().getContent(),
-                    StandardCharsets.UTF_8));
-            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-                if (!line.isBlank()) {
-                    HostReader.News told = reader.read(Json.parse(line), false);
-                    version = told.version();
-                    news.accept(told);
+        }
+
+        private void follow() throws IOException, HttpException {
+            int colon = wanted.address().lastIndexOf(':');
+            try (DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(null)) {
+                socket.setTcpNoDelay(true);
+                socket.connect(new InetSocketAddress(wanted.address().substring(0, colon),
+                        Integer.parseInt(wanted.address().substring(colon + 1))),
+                        (int) (timing.openSeconds() * 1000));
+                connection.bind(socket);
+                BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET",
+                        "/discovery/hosts?follow=1&since=" + wanted.since());
+                request.setHeader("Host", wanted.address());
+                connection.sendRequestHeader(request);
+                connection.flush();
+                ClassicHttpResponse response = connection.receiveResponseHeader();
+                if (response.getCode() != 200) {
+                    throw new IOException("status " + response.getCode());
+                }
+                on(new Event.Answered(wanted.link()));
+                connection.receiveResponseEntity(response);
+                BufferedReader lines = new BufferedReader(new InputStreamReader(
+                        response.getEntity().getContent(), StandardCharsets.UTF_8));
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    on(line.isBlank() ? new Event.Beat(wanted.link())
+                            : new Event.Told(wanted.link(), reader.read(Json.parse(line), false)));
                 }
             }
         }
--- a/src/main/java/dunlinladder/wire/engine/Connections.java
+++ b/src/main/java/dunlinladder/wire/engine/Connections.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.UnknownHostException;
 import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -38,6 +39,8 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Outgoing connections: HttpCore's requester opens them and its pool keeps them. The pool holds the bare
@@ -46,6 +49,8 @@
  */
 public final class Connections implements AutoCloseable {
 
+    private static final Logger LOG = LoggerFactory.getLogger(Connections.class);
+
     private final HttpAsyncRequester requester;
     private final StrictConnPool<HttpHost, IOSession> pool;
     private final Limits limits;
@@ -172,8 +177,20 @@
         }, (long) (limits.restSeconds() * 1e6), TimeUnit.MICROSECONDS);
     }
 
-    /** Closes a connection now, whatever it carries. */
+    /**
+     * Closes a connection now, whatever it carries. A channel that a selector knows is closed for good by the
+     * selector's thread, when that gets a core; until then the engine would take the attempt for one that is
+     * still out, while its client may already have been refused. So our sending is ended here and at once.
+     */
     void drop(PoolEntry<HttpHost, IOSession> entry) {
+        IOSession session = entry.getConnection();
+        if (session != null && session.channel() instanceof SocketChannel channel) {
+            try {
+                channel.shutdownOutput();
+            } catch (IOException e) {
+                LOG.debug("ended by the other side: {}", e.toString());
+            }
+        }
         entry.discardConnection(CloseMode.IMMEDIATE);
         pool.release(entry, false);
     }
--- a/src/main/java/dunlinladder/wire/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/wire/engine/EngineCall.java
@@ -4,7 +4,7 @@
 import dunlinladder.core.Client;
 import dunlinladder.core.Clock;
 import dunlinladder.core.EngineCalls;
-import dunlinladder.core.Engines;
+import dunlinladder.core.Gate;
 import dunlinladder.core.Limits;
 import dunlinladder.core.Outcome;
 import dunlinladder.core.Outcome.Ending;
@@ -44,7 +44,7 @@
     private final Forward forward;
     private final Client client;
     private final Runnable first;
-    private final Engines engines;
+    private final Gate gate;
     private final Clock clock;
     private final ByteBuffer body;
     private final Limits limits;
@@ -60,14 +60,14 @@
     private int untaken;
     private double heardAt;
 
-    EngineCall(Connections connections, Engines engines, Clock clock, Limits limits, Attempt attempt,
+    EngineCall(Connections connections, Gate gate, Clock clock, Limits limits, Attempt attempt,
             Client client, Runnable first) {
         super(connections);
         this.attempt = attempt;
         this.forward = (Forward) attempt.request().payload();
         this.client = client;
         this.first = first;
-        this.engines = engines;
+        this.gate = gate;
         this.clock = clock;
         this.body = ByteBuffer.wrap(forward.body());
         this.limits = limits;
@@ -130,7 +130,7 @@
     /** News that the engine drains also stops what was decided before it and waited for a connection. */
     @Override
     boolean mayStart() {
-        return engines.accepts(attempt.engine().id());
+        return gate.open(attempt.engine());
     }
 
     /** Only what breaks before the request's last byte is written has certainly not run. */
@@ -145,6 +145,12 @@
         if (done.isDone()) {
             throw new ConnectionClosedException("given up before it was sent");
         }
+        if (!mayStart()) {
+            // The connection was there, yet this thread came to it only now. Its end is our own doing and
+            // says nothing of kept connections.
+            finish(false);
+            throw new ConnectionClosedException("the engine drains");
+        }
         BasicHttpRequest request = new BasicHttpRequest(forward.method(), forward.target());
         request.setAuthority(Connections.authority(attempt.engine()));
         request.setHeader("X-Request-ID", attempt.request().id());
--- a/src/main/java/dunlinladder/wire/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/wire/engine/EngineClient.java
@@ -6,6 +6,7 @@
 import dunlinladder.core.Engine;
 import dunlinladder.core.EngineCalls;
 import dunlinladder.core.Engines;
+import dunlinladder.core.Gate;
 import dunlinladder.core.Limits;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -17,15 +18,17 @@
 
     private final Connections connections;
     private final Engines engines;
+    private final Gate gate;
     private final Clock clock;
     private final Limits limits;
     private final ScheduledExecutorService timer;
 
     /** Creates a client; {@code timer} moves releases on that get no answer. */
-    public EngineClient(Connections connections, Engines engines, Clock clock, Limits limits,
+    public EngineClient(Connections connections, Engines engines, Gate gate, Clock clock, Limits limits,
             ScheduledExecutorService timer) {
         this.connections = connections;
         this.engines = engines;
+        this.gate = gate;
         this.clock = clock;
         this.limits = limits;
         this.timer = timer;
@@ -33,7 +36,7 @@
 
     @Override
     public Call send(Attempt attempt, Client client, Runnable first) {
-        EngineCall call = new EngineCall(connections, engines, clock, limits, attempt, client, first);
+        EngineCall call = new EngineCall(connections, gate, clock, limits, attempt, client, first);
         call.start(attempt.engine().address());
         return call;
     }
--- a/src/test/java/dunlinladder/it/StandIn.java
+++ b/src/test/java/dunlinladder/it/StandIn.java
@@ -186,7 +186,12 @@
 
     private void watch(OutputStream out, long since) throws IOException, InterruptedException {
         send(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        int looks = 0;
         for (int told = 0;; Thread.sleep(1)) {
+            if (++looks % 500 == 0) {
+                // As long as nothing changes an empty line shows that discovery is there.
+                chunk(out, "\n");
+            }
             for (; told < news.size(); told++) {
                 if (told + 2 > since) {
                     chunk(out, news.get(told) + "\n");
--- /dev/null
+++ b/src/test/java/dunlinladder/membership/FollowingTest.java
@@ -0,0 +1,274 @@
+package dunlinladder.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dunlinladder.core.Decider;
+import dunlinladder.core.Engine;
+import dunlinladder.membership.Following.Command;
+import dunlinladder.membership.Following.Event;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The state machine that follows the list, step by step and against a discovery that does anything. */
+class FollowingTest {
+
+    private static final Timing TIMING = new Timing(0.3, 2, 2.5, 0.2, 10, 3);
+
+    private final List<Command> done = new ArrayList<>();
+    private Following state = Following.from(TIMING, 41);
+    private double now;
+
+    private void on(Event event) {
+        Following.Next next = state.on(event, now);
+        state = next.state();
+        done.addAll(next.commands());
+    }
+
+    /** Lets time pass, waking when the state asks to. */
+    private void pass(double seconds) {
+        double end = now + seconds;
+        while (state.wake() < end) {
+            now = Math.max(now + 0.01, state.wake());
+            on(new Event.Tick());
+        }
+        now = end;
+        on(new Event.Tick());
+    }
+
+    private List<Command> taken() {
+        return done.stream().filter(c -> c instanceof Command.Take).toList();
+    }
+
+    private static News changes(long version, String... engines) {
+        return news(version, Decider.Scope.CHANGES, engines);
+    }
+
+    private static News whole(long version, String... engines) {
+        return news(version, Decider.Scope.COMPLETE, engines);
+    }
+
+    private static News news(long version, Decider.Scope scope, String... engines) {
+        return new News(version, scope, List.of(engines).stream().map(e -> new Engine(e.split("=")[0], "", 0, 0,
+                0, Engine.State.valueOf(e.split("=")[1]), 1, 0)).toList());
+    }
+
+    private void assertDone(Command... expected) {
+        assertEquals(List.of(expected), done);
+        done.clear();
+    }
+
+    @Test
+    void newsInTheMidstOfAMoveComesByTheOldLink() {
+        on(new Event.Move("a:1"));
+        assertDone(new Command.Open(0, "a:1", 41));
+        on(new Event.Answered(0));
+        on(new Event.Beat(0));
+        on(new Event.Move("b:1"));
+        assertDone(new Command.Open(1, "b:1", 41));
+        News drain = changes(42, "x=LEAVING");
+        on(new Event.Told(0, drain));
+        assertDone(new Command.Take(drain, 41));
+        // The new link asked before that news: it tells it again, and then is the only one.
+        on(new Event.Answered(1));
+        on(new Event.Told(1, changes(42, "x=LEAVING")));
+        assertDone(new Command.Close(0));
+        on(new Event.Told(0, changes(43, "x=ACTIVE")));
+        assertDone();
+    }
+
+    @Test
+    void aHungNewAddressIsRacedAndTheOldLinkStillHeard() {
+        on(new Event.Move("a:1"));
+        on(new Event.Answered(0));
+        on(new Event.Move("b:1"));
+        done.clear();
+        pass(0.35);
+        assertDone(new Command.Open(2, "b:1", 41));
+        pass(0.3);
+        assertDone(new Command.Open(3, "b:1", 41));
+        on(new Event.Told(0, changes(42, "x=LEAVING")));
+        assertEquals(1, taken().size());
+        done.clear();
+        on(new Event.Answered(2));
+        assertDone(new Command.Close(1), new Command.Close(3));
+        on(new Event.Beat(2));
+        assertDone(new Command.Close(0));
+    }
+
+    @Test
+    void hangsThatFollowEachOtherNeverStopTheTrying() {
+        on(new Event.Move("a:1"));
+        for (int i = 0; i < 10; i++) {
+            pass(2.1);
+            assertTrue(done.stream().anyMatch(c -> c instanceof Command.Open), "in round " + i);
+            assertTrue(state.links().size() <= 3);
+            done.clear();
+        }
+    }
+
+    @Test
+    void whatIsOlderThanWhatIsHeldIsLeftAside() {
+        on(new Event.Move("a:1"));
+        on(new Event.Answered(0));
+        on(new Event.Told(0, changes(43, "x=LEAVING")));
+        done.clear();
+        on(new Event.Told(0, whole(42, "x=ACTIVE")));
+        on(new Event.Told(0, changes(43, "x=ACTIVE")));
+        assertDone();
+        on(new Event.Told(0, changes(44, "y=LEFT")));
+        assertEquals(1, taken().size());
+        assertEquals(44, state.version());
+    }
+
+    @Test
+    void aDiscoveryThatCountsAnewIsAskedForAllAfterAWhile() {
+        on(new Event.Move("a:1"));
+        on(new Event.Answered(0));
+        done.clear();
+        on(new Event.Told(0, whole(3, "x=ACTIVE")));
+        assertDone();
+        for (int i = 0; i < 5; i++) {
+            pass(2);
+            on(new Event.Beat(0));
+        }
+        pass(0.1);
+        assertDone(new Command.Close(0), new Command.Open(1, "a:1", 0));
+        on(new Event.Answered(1));
+        News all = whole(4, "x=ACTIVE");
+        on(new Event.Told(1, all));
+        assertDone(new Command.Take(all, 41));
+        on(new Event.Told(1, changes(5, "x=LEAVING")));
+        assertEquals(5, state.version());
+    }
+
+    @Test
+    void aBadLineAsksForAllAndTheNextGoodOneIsTaken() {
+        on(new Event.Move("a:1"));
+        on(new Event.Answered(0));
+        done.clear();
+        on(new Event.Unreadable(0));
+        assertDone(new Command.Close(0));
+        pass(0.25);
+        assertDone(new Command.Open(1, "a:1", 0));
+        News all = whole(41, "x=LEAVING");
+        on(new Event.Told(1, all));
+        assertDone(new Command.Take(all, 41));
+        on(new Event.Ended(1));
+        assertDone(new Command.Open(2, "a:1", 41));
+    }
+
+    @Test
+    void newsThatWasNotTakenInIsAskedForAgain() {
+        on(new Event.Move("a:1"));
+        on(new Event.Answered(0));
+        on(new Event.Told(0, changes(42, "x=LEAVING")));
+        assertEquals(42, state.version());
+        done.clear();
+        on(new Event.NotTaken(41));
+        assertEquals(41, state.version());
+        pass(0.25);
+        assertDone(new Command.Close(0), new Command.Open(1, "a:1", 0));
+    }
+
+    @Test
+    void aSilentLinkStaysUntilAnotherAnswers() {
+        on(new Event.Move("a:1"));
+        on(new Event.Answered(0));
+        done.clear();
+        pass(2.6);
+        assertDone(new Command.Open(1, "a:1", 41));
+        on(new Event.Told(0, changes(42, "x=LEAVING")));
+        assertEquals(1, taken().size());
+        done.clear();
+        on(new Event.Answered(1));
+        assertDone(new Command.Close(0));
+    }
+
+    @Test
+    void aRefusedAddressIsAskedAgainAfterAPauseOnly() {
+        on(new Event.Move("a:1"));
+        done.clear();
+        on(new Event.Ended(0));
+        assertDone();
+        pass(0.15);
+        assertDone();
+        pass(0.1);
+        assertDone(new Command.Open(1, "a:1", 41));
+    }
+
+    /**
+     * Discovery drops, hangs, refuses, moves, repeats and reorders links at random; its list only grows. What
+     * is taken in never goes backwards, and once discovery behaves again the list is up to date.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void nothingIsLostWhateverTheLinksDo(long seed) {
+        Random random = new Random(seed);
+        TreeMap<Integer, Long> told = new TreeMap<>();
+        long latest = 41;
+        long held = 41;
+        int addresses = 1;
+        on(new Event.Move("a:0"));
+        for (int i = 0; i < 3000; i++) {
+            int drawn = random.nextInt(100);
+            List<Integer> links = state.links().stream().map(Following.Link::id).toList();
+            int link = links.isEmpty() ? 99_999 : links.get(random.nextInt(links.size()));
+            if (drawn < 25) {
+                latest++;
+            } else if (drawn < 55 && told.containsKey(link)) {
+                long from = told.get(link) + 1;
+                if (from == 1) {
+                    told.put(link, latest);
+                    on(new Event.Told(link, whole(latest, "v" + latest + "=LEAVING")));
+                } else if (from <= latest) {
+                    long to = from + random.nextInt((int) Math.min(3, latest - from + 1));
+                    told.put(link, to);
+                    on(new Event.Told(link, changes(to, "v" + to + "=LEAVING")));
+                }
+            } else if (drawn < 70) {
+                on(new Event.Answered(link));
+            } else if (drawn < 80) {
+                on(new Event.Ended(link));
+            } else if (drawn < 82) {
+                on(new Event.Move("a:" + addresses++));
+            } else if (drawn < 85) {
+                on(new Event.Unreadable(link));
+            } else {
+                pass(random.nextDouble() * 3);
+            }
+            for (Command command : List.copyOf(done)) {
+                if (command instanceof Command.Open open) {
+                    told.put(open.link(), open.since());
+                } else if (command instanceof Command.Close close) {
+                    told.remove(close.link());
+                } else if (command instanceof Command.Take take) {
+                    assertTrue(take.news().version() > held
+                            || take.news().whole() && take.news().version() == held);
+                    assertEquals(held, take.before());
+                    held = take.news().version();
+                }
+            }
+            done.clear();
+            assertTrue(state.links().stream().filter(l -> l.address().equals(state.address())).count() <= 3);
+        }
+        // From here on whatever link is opened answers and tells all that it has.
+        for (int i = 0; i < 100 && held < latest; i++) {
+            pass(0.5);
+            for (Following.Link open : state.links()) {
+                on(new Event.Answered(open.id()));
+                on(new Event.Told(open.id(), open.asked() == 0 ? whole(latest, "all=LEAVING")
+                        : changes(latest, "all=LEAVING")));
+            }
+            held = state.version();
+        }
+        assertEquals(latest, held);
+        assertFalse(state.links().isEmpty());
+    }
+}
--- a/src/test/java/dunlinladder/wire/ReadersTest.java
+++ b/src/test/java/dunlinladder/wire/ReadersTest.java
@@ -6,6 +6,7 @@
 
 import dunlinladder.core.Decider;
 import dunlinladder.core.Engine;
+import dunlinladder.membership.News;
 import dunlinladder.wire.discovery.HostReader;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -19,14 +20,14 @@
             + "'health':'leaving','share':0.5,'born_ms':1500}";
     private final HostReader reader = new HostReader(List.of("a", "b"), List.of("m1", "m2"));
 
-    private HostReader.News read(String message) {
+    private News read(String message) {
         return reader.read(Json.parse(message.replace('\'', '"')), false);
     }
 
     @Test
     void anEntryIsReadInFull() {
-        HostReader.News news = read("{'seq':4,'whole':false,'hosts':[" + HOST + "]}");
-        assertEquals(new HostReader.News(4, Decider.Scope.CHANGES, List.of(new Engine("s-1",
+        News news = read("{'seq':4,'whole':false,'hosts':[" + HOST + "]}");
+        assertEquals(new News(4, Decider.Scope.CHANGES, List.of(new Engine("s-1",
                 "127.0.0.1:1", 1, 1,
                 3, Engine.State.LEAVING, 0.5, 1.5))), news);
         assertEquals(Decider.Scope.COMPLETE, read("{'seq':4,'whole':true,'hosts':[]}").scope());
--- /dev/null
+++ b/src/test/java/dunlinladder/wire/engine/ConnectionsTest.java
@@ -0,0 +1,84 @@
+package dunlinladder.wire.engine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dunlinladder.core.Limits;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.pool.PoolEntry;
+import org.apache.hc.core5.reactor.IOSession;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What the connections to engines promise to the rules. */
+@Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class ConnectionsTest {
+
+    static final Limits LIMITS = new Limits(1024, 1024, 16384, 16384, 16384, 16, 4096, 10, 10, 10, 5, 10, 0.02,
+            30, 4, 0.25, 4, 0.02, 1, 2.5, 0.04, 10, 0.1, 0.6);
+
+    private static PoolEntry<HttpHost, IOSession> lease(Connections connections, String address) {
+        CompletableFuture<PoolEntry<HttpHost, IOSession>> leased = new CompletableFuture<>();
+        connections.lease(address, new Connections.Waiting() {
+            @Override
+            public void connected(PoolEntry<HttpHost, IOSession> entry, boolean reused) {
+                leased.complete(entry);
+            }
+
+            @Override
+            public void notConnected() {
+                leased.completeExceptionally(new IllegalStateException("not connected"));
+            }
+        });
+        return leased.join();
+    }
+
+    /**
+     * An attempt that is given up ends on the wire at once, although the thread that serves its connection is
+     * busy: a client that is refused meanwhile must not find the attempt still out.
+     */
+    @Test
+    void whatIsGivenUpEndsAtOnce() throws Exception {
+        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+        CountDownLatch release = new CountDownLatch(1);
+        CountDownLatch busy = new CountDownLatch(1);
+        try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+                Connections connections = new Connections(LIMITS, timer)) {
+            String address = "127.0.0.1:" + listener.getLocalPort();
+            PoolEntry<HttpHost, IOSession> entry = lease(connections, address);
+            try (Socket peer = listener.accept()) {
+                // The one thread that serves all connections takes up the next one, and stays there.
+                connections.lease(address, new Connections.Waiting() {
+                    @Override
+                    public void connected(PoolEntry<HttpHost, IOSession> other, boolean reused) {
+                        busy.countDown();
+                        try {
+                            release.await();
+                        } catch (InterruptedException e) {
+                            Thread.currentThread().interrupt();
+                        }
+                    }
+
+                    @Override
+                    public void notConnected() {
+                        busy.countDown();
+                    }
+                });
+                busy.await();
+                connections.drop(entry);
+                assertEquals(-1, peer.getInputStream().read());
+            }
+        } finally {
+            release.countDown();
+            timer.shutdownNow();
+        }
+        assertEquals(List.of(), timer.shutdownNow());
+    }
+}
