Dialects: four request formats round one neutral model, and the chat front speaks them all

Need: shops whose software will not be rewritten must reach servers of a newer request format, and the other way round. New package dialect, without I/O: completions, chat, responses and messages, each as client and as engine side, round one neutral model, so that a format is one codec. Each field is carried, converted, left out with a warning header, or refused by its name. The chat front takes all four paths and /v1/models/{id}; the operator's file says what the engines speak (engines) and what becomes of unknown fields (unknown_fields). Where both sides speak chat the bytes go on as before.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build: the program; test: unit and integration tests; lint: style; run: one gateway from RELAY_CONFIG.
-.PHONY: build test lint run clean
+.PHONY: build test lint run docs clean
 
 build:
 	mvn -q -DskipTests package
@@ -13,5 +13,9 @@
 run: build
 	exec java -jar target/dunlinladder.jar serve
 
+# Prints the tables of fields and errors that the program carries out.
+docs: build
+	java -cp target/dunlinladder.jar dunlinladder.lifecycle.Pages docs
+
 clean:
 	mvn -q clean
--- a/src/main/java/dunlinladder/core/Trail.java
+++ b/src/main/java/dunlinladder/core/Trail.java
@@ -5,9 +5,9 @@
 import java.util.Locale;
 
 /**
- * What is certain of one request's attempts, as facts of the moment at which each was sent and of how it ended.
- * Whether the request may have run is told from here alone: not from the list, which may have lost the engine
- * meanwhile, nor from the decisions, which go by what is likely.
+ * What is certain of one request's attempts, as facts of the moment at which each was sent and of how it
+ * ended. Whether the request may have run is told from here alone: not from the list, which may have lost the
+ * engine meanwhile, nor from the decisions, which go by what is likely.
  *
  * <p>Used by one thread at a time.
  */
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -1,7 +1,6 @@
 package dunlinladder.lifecycle;
 
 import dunlinladder.core.Clock;
-import dunlinladder.core.Decider;
 import dunlinladder.core.Dispatcher;
 import dunlinladder.core.Engines;
 import dunlinladder.core.Gate;
@@ -65,7 +64,8 @@
         decisions = new Decisions(config.settings(), config.seed(), clock, client::release);
         ThreadPoolExecutor pool = new ThreadPoolExecutor(4, limits.requests(), 10, TimeUnit.SECONDS,
                 new SynchronousQueue<>(), task -> daemon(task, "request"));
-        dispatcher = new Dispatcher(decisions, engines, client, pool, clock, limits, policy(config.settings()));
+        dispatcher = new Dispatcher(decisions, engines, client, pool, clock, limits,
+                policy(config.settings()));
         AtomicLong bodies = new AtomicLong();
         PlatformExchange.Shared shared = new PlatformExchange.Shared(dispatcher, new RequestReader(
                 config.classes(), config.deadlines(), config.tenants()), clock, limits, () -> draining,
--- a/src/main/java/dunlinladder/lifecycle/Operator.java
+++ b/src/main/java/dunlinladder/lifecycle/Operator.java
@@ -1,12 +1,16 @@
 package dunlinladder.lifecycle;
 
 import dunlinladder.decision.Router;
+import dunlinladder.dialect.Format;
+import dunlinladder.dialect.Requests;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
 import dunlinladder.wire.chat.ChatSettings;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -64,6 +68,15 @@
                 if (number(key, value) != Math.rint(number(key, value))) {
                     throw new BadInput(key + " must be a whole number, not " + value);
                 }
+            } else if (key.equals("engines")) {
+                if (Format.of(value).isEmpty()) {
+                    throw new BadInput(key + " must be one of " + Arrays.stream(Format.values())
+                            .map(Format::key).toList() + ", not " + value);
+                }
+            } else if (key.equals("unknown_fields")) {
+                if (!value.matches("pass|drop|refuse")) {
+                    throw new BadInput(key + " must be pass, drop or refuse, not " + value);
+                }
             } else if (!key.equals("listen") && !(key.startsWith("models.") && last.equals("class"))) {
                 throw new BadInput("unknown key " + key);
             }
@@ -141,6 +154,8 @@
         }
         return new Chat(Config.address(flat.get("listen"), "listen"), new ChatSettings(tenants, models,
                 deadlines, config.settings().classes().stream()
-                        .map(c -> c.effect() == Router.Effect.UNSAFE).toList()));
+                        .map(c -> c.effect() == Router.Effect.UNSAFE).toList(),
+                Format.of(flat.getOrDefault("engines", "chat")).orElseThrow(), Requests.Unknown.valueOf(
+                        flat.getOrDefault("unknown_fields", "pass").toUpperCase(Locale.ROOT))));
     }
 }
--- /dev/null
+++ b/src/main/java/dunlinladder/lifecycle/Pages.java
@@ -0,0 +1,22 @@
+package dunlinladder.lifecycle;
+
+import dunlinladder.dialect.Faults;
+import dunlinladder.dialect.Table;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Writes the tables into the folder of docs that its one argument names. */
+public final class Pages {
+
+    private Pages() {
+    }
+
+    /** Writes {@code fields.md} and {@code errors.md}. */
+    public static void main(String[] args) throws IOException {
+        Path docs = Path.of(args[0]);
+        Files.createDirectories(docs);
+        Files.writeString(docs.resolve("fields.md"), Table.markdown());
+        Files.writeString(docs.resolve("errors.md"), Faults.markdown());
+    }
+}
--- a/src/main/java/dunlinladder/membership/Following.java
+++ b/src/main/java/dunlinladder/membership/Following.java
@@ -6,16 +6,16 @@
 
 /**
  * How a gateway follows the engine list, as a pure function of state, event and time: which links to
- * discovery are open, which news is taken in and in which order, and when to try again. It does no I/O; whoever
- * drives it carries out the {@link Command}s and reports the {@link Event}s.
+ * discovery are open, which news is taken in and in which order, and when to try again. It does no I/O;
+ * whoever drives it carries out the {@link Command}s and reports the {@link Event}s.
  *
  * <p>What it guards against:
  * <ul>
  * <li>A move to another address while news is on its way: the old link is listened to until the new one has
  *     been heard.
  * <li>An address that hangs: a second link is tried beside the first, the first to answer stays.
- * <li>News of two links that overtakes itself: what is not newer than what was taken in is left aside, as each
- *     entry says an engine's whole state and an older one would undo a drain.
+ * <li>News of two links that overtakes itself: what is not newer than what was taken in is left aside, as
+ * each entry says an engine's whole state and an older one would undo a drain.
  * <li>News that could not be read or taken in: the version does not move past it, and the whole list is asked
  *     for.
  * <li>Discovery that begins to count anew: lists that stay behind for long are asked for from their beginning
@@ -49,7 +49,8 @@
         }
 
         private Link behind(double now) {
-            return new Link(id, address, asked, answered, at, spoken, Double.isNaN(behindAt) ? now : behindAt);
+            return new Link(id, address, asked, answered, at, spoken, Double.isNaN(behindAt) ? now
+                    : behindAt);
         }
 
         private Link level() {
--- a/src/main/java/dunlinladder/wire/chat/ChatError.java
+++ b/src/main/java/dunlinladder/wire/chat/ChatError.java
@@ -1,5 +1,8 @@
 package dunlinladder.wire.chat;
 
+import dunlinladder.dialect.Fault;
+import dunlinladder.dialect.Faults;
+import dunlinladder.dialect.Format;
 import dunlinladder.wire.Json;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -24,6 +27,31 @@
         return new ChatError(400, message, param, "invalid_value");
     }
 
+    /** The error object in a client's format. */
+    String json(Format format) {
+        return format == Format.CHAT ? json() : Faults.write(format, new Fault(kind(), getMessage(), param))
+                .toString();
+    }
+
+    /** The status in a client's format. */
+    int status(Format format) {
+        return format == Format.CHAT ? status : Faults.status(format, kind());
+    }
+
+    Fault.Kind kind() {
+        return switch (status) {
+            case 400 -> Fault.Kind.INVALID;
+            case 401 -> Fault.Kind.AUTHENTICATION;
+            case 404 -> Fault.Kind.NOT_FOUND;
+            case 405 -> Fault.Kind.METHOD;
+            case 413 -> Fault.Kind.TOO_LARGE;
+            case 429 -> Fault.Kind.OVERLOADED;
+            case 502 -> Fault.Kind.SERVER;
+            case 504 -> Fault.Kind.TIMEOUT;
+            default -> Fault.Kind.INTERNAL;
+        };
+    }
+
     /** The error object. */
     String json() {
         Map<String, Object> error = new LinkedHashMap<>();
--- a/src/main/java/dunlinladder/wire/chat/ChatExchange.java
+++ b/src/main/java/dunlinladder/wire/chat/ChatExchange.java
@@ -1,15 +1,28 @@
 package dunlinladder.wire.chat;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import dunlinladder.core.Client;
 import dunlinladder.core.Clock;
 import dunlinladder.core.Dispatcher;
 import dunlinladder.core.Limits;
+import dunlinladder.dialect.Conversation;
+import dunlinladder.dialect.EventReader;
+import dunlinladder.dialect.Fault;
+import dunlinladder.dialect.Format;
+import dunlinladder.dialect.Pieces;
+import dunlinladder.dialect.ReplyWriter;
+import dunlinladder.dialect.Requests;
+import dunlinladder.dialect.Setting;
+import dunlinladder.dialect.Translation;
+import dunlinladder.dialect.Untranslatable;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
 import dunlinladder.wire.ServerExchange;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +32,10 @@
 import java.util.function.IntConsumer;
 import org.apache.hc.core5.http.HttpRequest;
 
-/** One request in the OpenAI-style chat API; its client as the core sees it. */
+/**
+ * One request in any of the published formats; its client as the core sees it. Where the engines speak the
+ * client's own format its body goes on as it came, else it is translated there and its answer back.
+ */
 public final class ChatExchange extends ServerExchange implements Client {
 
     private static final String JSON = "application/json";
@@ -28,11 +44,18 @@
     public record Shared(Dispatcher dispatcher, ChatSettings settings, Clock clock, Limits limits,
             BooleanSupplier closing, AtomicLong bodies) { }
 
+    private static final String MODELS = "/v1/models";
+
     private final Shared shared;
-    private final EventReader events = new EventReader(this::event);
+    private final EventReader events = new EventReader((name, data) -> event(data));
     private final StringBuilder text = new StringBuilder();
     private final StringBuilder out = new StringBuilder();
     private ChatRequest request;
+    private Format format = Format.CHAT;
+    /** Null where the engines speak the client's own format. */
+    private Translation translation;
+    private Conversation talk;
+    private final List<String> warnings = new ArrayList<>();
     private String id;
     private boolean open;
     private boolean done;
@@ -51,28 +74,79 @@
         double now = shared.clock.now();
         try {
             String path = path(head);
-            boolean models = path.equals("/v1/models");
-            if (!models && !path.equals("/v1/chat/completions")) {
+            boolean models = path.equals(MODELS) || path.startsWith(MODELS + "/");
+            Format asked = Arrays.stream(Format.values()).filter(f -> f.path().equals(path)).findFirst()
+                    .orElse(null);
+            if (!models && asked == null) {
                 throw new ChatError(404, "unknown path " + path, null, "not_found");
             }
+            format = models ? Format.CHAT : asked;
             String method = models ? "GET" : "POST";
             if (!head.getMethod().equals(method)) {
-                answer(405, JSON, new ChatError(405, "use " + method, null, "method_not_allowed").json(),
-                        Map.of("Allow", method));
+                ChatError error = new ChatError(405, "use " + method, null, "method_not_allowed");
+                answer(405, JSON, error.json(format), Map.of("Allow", method));
                 return;
             }
-            int tenant = tenant(header(head, "Authorization"));
+            int tenant = tenant(header(head, "x-api-key") == null ? header(head, "Authorization")
+                    : "Bearer " + header(head, "x-api-key"));
             if (models) {
-                answer(200, JSON, models(), Map.of());
-            } else {
-                request = ChatRequest.read(content, shared.settings, tenant);
-                id = UUID.randomUUID().toString().replace("-", "");
-                take(request.toCore(id, tenant,
-                        now + shared.settings.deadlines().get(request.kind().serviceClass())), this);
+                answer(200, JSON, path.equals(MODELS) ? models() : model(path.substring(MODELS.length() + 1)),
+                        Map.of());
+                return;
             }
+            Format engines = shared.settings.engines();
+            boolean plain = format == Format.CHAT && engines == Format.CHAT;
+            request = plain ? ChatRequest.read(content, shared.settings, tenant)
+                    : translated(content, engines, tenant);
+            id = UUID.randomUUID().toString().replace("-", "");
+            translation = plain ? null : translation(engines, content);
+            take(request.toCore(id, tenant, now + shared.settings.deadlines().get(request.kind()
+                    .serviceClass()), engines.path()), this);
         } catch (ChatError e) {
-            answer(e.status, JSON, e.json(), Map.of());
+            answer(e.status(format), JSON, e.json(format), Map.of());
+        }
+    }
+
+    /** Reads a request in the client's format and expresses it in the engines'. */
+    private ChatRequest translated(byte[] content, Format engines, int tenant) {
+        try {
+            talk = Requests.read(format, Pieces.body(content), shared.settings.unknown(), warnings);
+            if (talk.number(Setting.CHOICES, 1) != 1) {
+                throw ChatError.invalid("only one choice is offered: n must be 1", "n");
+            }
+            if (talk.number(Setting.BEST_OF, 1) != 1) {
+                throw ChatError.invalid("only one choice is offered: best_of must be 1", "best_of");
+            }
+            ChatSettings.Model kind = ChatRequest.kind(shared.settings, talk.text(Setting.MODEL));
+            ObjectNode body = Requests.write(engines, talk, kind.mostTokens(), warnings);
+            // Engines only stream, and the usage is wanted for the answer's end whatever the client asks.
+            body.put("stream", true);
+            if (engines == Format.CHAT || engines == Format.COMPLETIONS) {
+                body.putObject("stream_options").put("include_usage", true);
+            }
+            return ChatRequest.of(talk, shared.settings, tenant, body.toString().getBytes(
+                    StandardCharsets.UTF_8));
+        } catch (Untranslatable e) {
+            throw new ChatError(400, e.getMessage(), e.field(),
+                    e.malformed() ? "invalid_value" : "unsupported_parameter");
+        }
+    }
+
+    private Translation translation(Format engines, byte[] content) {
+        String echo = talk.flag(Setting.ECHO) && engines != Format.COMPLETIONS ? talk.turns().get(0).text()
+                : null;
+        return new Translation(engines, format, new ReplyWriter.Identity(id, request.model(),
+                (long) shared.clock.now(), request.usage(), talk.legacy(), echo), request.stream());
+    }
+
+    /** Headers of an answer: what was left out of the request is told, not passed over. */
+    private Map<String, String> headers(Map<String, String> others) {
+        if (warnings.isEmpty()) {
+            return others;
         }
+        Map<String, String> headers = new LinkedHashMap<>(others);
+        headers.put("X-Translation-Warnings", String.join("; ", warnings).replaceAll("[^\\x20-\\x7e]", "?"));
+        return headers;
     }
 
     private int tenant(String authorization) {
@@ -89,15 +163,23 @@
 
     private String models() {
         return Json.write(Map.of("object", "list", "data", shared.settings.models().keySet().stream().sorted()
-                .map(name -> Map.of("id", name, "object", "model", "created", 0, "owned_by", "dunlinladder"))
-                .toList()));
+                .map(ChatExchange::describe).toList()));
+    }
+
+    private String model(String name) {
+        ChatRequest.kind(shared.settings, name);
+        return Json.write(describe(name));
+    }
+
+    private static Map<String, Object> describe(String name) {
+        return Map.of("id", name, "object", "model", "created", 0, "owned_by", "dunlinladder");
     }
 
     @Override
     protected void tooLong() {
         ChatError error = new ChatError(413, "the body is over " + shared.limits.bodyBytes() + " bytes", null,
                 "request_too_large");
-        answer(413, JSON, error.json(), Map.of());
+        answer(413, JSON, error.json(format), Map.of());
     }
 
     // ---- The engine's events ----
@@ -105,7 +187,11 @@
     @Override
     public void data(ByteBuffer piece, IntConsumer taken) {
         int size = piece.remaining();
-        events.read(piece);
+        if (translation == null) {
+            events.read(piece);
+        } else {
+            translation.stream(piece, this::translated);
+        }
         if (out.length() == 0) {
             taken.accept(size);
         } else {
@@ -122,6 +208,11 @@
         }
     }
 
+    private void translated(String text) {
+        opened();
+        out.append(text);
+    }
+
     private ByteBuffer outgoing() {
         ByteBuffer bytes = ByteBuffer.wrap(out.toString().getBytes(StandardCharsets.UTF_8));
         out.setLength(0);
@@ -181,16 +272,24 @@
         return fields;
     }
 
-    private void send(String data) {
+    private void opened() {
         if (!open) {
             open = true;
-            open("text/event-stream", Map.of("Cache-Control", "no-cache"));
+            open("text/event-stream", headers(Map.of("Cache-Control", "no-cache")));
         }
+    }
+
+    private void send(String data) {
+        opened();
         out.append("data: ").append(data).append("\n\n");
     }
 
     private void close(String last) {
         send(last);
+        close();
+    }
+
+    private void close() {
         write(outgoing(), n -> { });
         finish();
     }
@@ -199,7 +298,16 @@
 
     @Override
     public void end() {
-        if (!done || failed) {
+        if (translation != null) {
+            translation.end(this::translated);
+            if (!translation.whole()) {
+                broken();
+            } else if (request.stream()) {
+                close();
+            } else {
+                answer(200, JSON, translation.answer().toString(), headers(Map.of()));
+            }
+        } else if (!done || failed) {
             broken();
         } else if (request.stream()) {
             close("[DONE]");
@@ -223,7 +331,10 @@
     /** A stream without its closing event is not whole: the client is told so, and never gets a [DONE]. */
     private void broken() {
         ChatError error = new ChatError(502, "the answer broke off", null, "upstream_error");
-        if (open) {
+        if (open && translation != null) {
+            translation.fail(new Fault(Fault.Kind.SERVER, error.getMessage(), null), this::translated);
+            close();
+        } else if (open) {
             close(error.json());
         } else {
             fail(error);
@@ -233,8 +344,9 @@
     @Override
     public void refuse(double retryAfter) {
         double advice = retryAfter > 0 ? retryAfter : shared.limits.retryAfterSeconds();
-        answer(429, JSON, new ChatError(429, "no capacity now; trying again is harmless", null,
-                "overloaded").json(), Map.of("Retry-After", Long.toString((long) Math.ceil(advice))));
+        ChatError error = new ChatError(429, "no capacity now; trying again is harmless", null, "overloaded");
+        answer(error.status(format), JSON, error.json(format), Map.of("Retry-After",
+                Long.toString((long) Math.ceil(advice))));
     }
 
     @Override
@@ -249,6 +361,7 @@
     /** Client libraries repeat a 5xx by themselves; this header keeps them from running a listing twice. */
     private void fail(ChatError error) {
         boolean once = shared.settings.once().get(request.kind().serviceClass());
-        answer(error.status, JSON, error.json(), once ? Map.of("X-Should-Retry", "false") : Map.of());
+        answer(error.status(format), JSON, error.json(format), once ? Map.of("X-Should-Retry", "false")
+                : Map.of());
     }
 }
--- a/src/main/java/dunlinladder/wire/chat/ChatRequest.java
+++ b/src/main/java/dunlinladder/wire/chat/ChatRequest.java
@@ -1,6 +1,9 @@
 package dunlinladder.wire.chat;
 
 import dunlinladder.core.Request;
+import dunlinladder.dialect.Conversation;
+import dunlinladder.dialect.Setting;
+import dunlinladder.dialect.Turn;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
 import dunlinladder.wire.engine.Forward;
@@ -34,10 +37,7 @@
 
     private static ChatRequest read(Json body, byte[] content, ChatSettings settings, int tenant) {
         String model = body.text("model");
-        ChatSettings.Model kind = settings.models().get(model);
-        if (kind == null) {
-            throw new ChatError(404, "The model '" + model + "' does not exist", "model", "model_not_found");
-        }
+        ChatSettings.Model kind = kind(settings, model);
         if (body.integer("n", 1) != 1) {
             throw ChatError.invalid("only one choice is offered: n must be 1", "n");
         }
@@ -97,6 +97,40 @@
         return content == null ? "" : message.text("content");
     }
 
+    /** Figures of a request that is translated; {@code forward} is its body in the engines' format. */
+    static ChatRequest of(Conversation talk, ChatSettings settings, int tenant, byte[] forward) {
+        String model = talk.text(Setting.MODEL);
+        ChatSettings.Model kind = kind(settings, model);
+        StringBuilder opening = new StringBuilder(tenant + "\n" + model);
+        String shared = null;
+        long characters = 0;
+        boolean begun = false;
+        for (Turn turn : talk.turns()) {
+            String text = turn.text();
+            characters += text.length();
+            boolean instruction = turn.role() == Turn.Role.SYSTEM;
+            if (!begun) {
+                opening.append('\n').append(turn.role()).append('\n').append(text);
+                begun = !instruction;
+            }
+            shared = turn == talk.turns().get(0) && instruction ? text : shared;
+        }
+        return new ChatRequest(model, kind, talk.flag(Setting.STREAM), talk.flag(Setting.STREAM_USAGE),
+                Math.ceil(characters / CHARACTERS_PER_TOKEN),
+                shared == null ? 0 : Math.floor(shared.length() / CHARACTERS_PER_TOKEN),
+                talk.number(Setting.MAX_OUTPUT, kind.mostTokens()), RequestReader.key(opening.toString()),
+                shared == null ? 0 : RequestReader.key(shared), forward);
+    }
+
+    /** What a model's name stands for; throws a {@link ChatError} where it is not known. */
+    static ChatSettings.Model kind(ChatSettings settings, String model) {
+        ChatSettings.Model kind = settings.models().get(model);
+        if (kind == null) {
+            throw new ChatError(404, "The model '" + model + "' does not exist", "model", "model_not_found");
+        }
+        return kind;
+    }
+
     /** Engines only stream: for a client that wants one answer the events are put together here. */
     private static byte[] streamed(Json body) {
         Map<String, Object> fields = new LinkedHashMap<>(body.fields());
@@ -105,9 +139,9 @@
     }
 
     /** The request as the core knows it. */
-    Request toCore(String id, int tenant, double deadline) {
+    Request toCore(String id, int tenant, double deadline, String path) {
         return new Request(id, kind.serviceClass(), tenant, session, prefix, promptTokens, prefixTokens,
                 maxOut, deadline, false, false,
-                new Forward("POST", "/v1/chat/completions", "application/json", forward));
+                new Forward("POST", path, "application/json", forward));
     }
 }
--- a/src/main/java/dunlinladder/wire/discovery/Watch.java
+++ b/src/main/java/dunlinladder/wire/discovery/Watch.java
@@ -25,8 +25,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows discovery over HTTP as {@link Following} says, each link on a thread of its own. Until there is news
- * the last list stands. News is taken in by the thread that read it, so that nothing waits behind it.
+ * Follows discovery over HTTP as {@link Following} says, each link on a thread of its own. Until there is
+ * news the last list stands. News is taken in by the thread that read it, so that nothing waits behind it.
  */
 public final class Watch implements Runnable {
 
@@ -111,7 +111,8 @@
             news.accept(told);
             return true;
         } catch (RuntimeException e) {
-            LOG.error("list version {} could not be taken in; the whole list is asked for", told.version(), e);
+            LOG.error("list version {} could not be taken in; the whole list is asked for", told.version(),
+                    e);
             return false;
         }
     }
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -123,7 +123,8 @@
     };
 
     private static Engine engine(String id, Engine.State state) {
-        return new Engine(id, "127.0.0.1:1", 0, id.charAt(0) == 'r' ? 0 : id.charAt(0) == 'w' ? 1 : 2, 0, state,
+        return new Engine(id, "127.0.0.1:1", 0, id.charAt(0) == 'r' ? 0 : id.charAt(0) == 'w' ? 1 : 2, 0,
+                state,
                 1, 0);
     }
 
@@ -132,7 +133,8 @@
     }
 
     private void take(int serviceClass) {
-        Limits limits = new Limits(0, 0, 0, 0, 0, 0, 0, 10, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0.04, 0, 0, 0);
+        Limits limits = new Limits(0, 0, 0, 0, 0, 0, 0, 10, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0.04, 0, 0,
+                0);
         assertTrue(new Dispatcher(decider, engines, calls, Runnable::run, clock, limits, POLICY).take(
                 new Request("id", serviceClass, 0, 1, 0, 10, 0, 10, clock.now() + 5, false, false, null),
                 client));
@@ -159,13 +161,15 @@
 
     /** The engine leaves the list, or is listed as a reader, while a listing is out at it. */
     @ParameterizedTest
-    @CsvSource({"TIMEOUT, LEFT, fail", "RESET, LEFT, fail", "FULL, LEFT, refuse", "CONNECT_FAILED, LEFT, refuse",
+    @CsvSource({"TIMEOUT, LEFT, fail", "RESET, LEFT, fail", "FULL, LEFT, refuse",
+            "CONNECT_FAILED, LEFT, refuse",
         "TIMEOUT, LEAVING, fail", "TIMEOUT, ACTIVE, fail"})
     void whatTheListSaysLaterChangesNothing(Ending ending, Engine.State state, String answer) {
         list(Engine.State.ACTIVE, "m1");
         steps.addAll(List.of(new Step.Send("m1", 0), new Step.Refuse(0)));
         endings.add(ending);
-        meanwhile = () -> engines.apply(Decider.Scope.CHANGES, List.of(new Engine("m1", "127.0.0.1:1", 0, 0, 0,
+        meanwhile = () -> engines.apply(Decider.Scope.CHANGES, List.of(new Engine("m1", "127.0.0.1:1", 0, 0,
+                0,
                 state, 1, 0)));
         take(LISTING);
         assertEquals(List.of(answer), answers);
--- a/src/test/java/dunlinladder/wire/chat/EventReaderTest.java
+++ b/src/test/java/dunlinladder/dialect/EventReaderTest.java
@@ -1,4 +1,4 @@
-package dunlinladder.wire.chat;
+package dunlinladder.dialect;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -22,7 +22,7 @@
         byte[] bytes = stream.replace("\\n", "\n").replace("\\r", "\r").getBytes(StandardCharsets.UTF_8);
         for (int size : new int[] {bytes.length, 1, 3}) {
             List<String> events = new ArrayList<>();
-            EventReader reader = new EventReader(events::add);
+            EventReader reader = new EventReader((name, data) -> events.add(data));
             for (int at = 0; at < bytes.length; at += size) {
                 reader.read(ByteBuffer.wrap(bytes, at, Math.min(size, bytes.length - at)));
             }
--- /dev/null
+++ b/src/test/java/dunlinladder/dialect/RepliesTest.java
@@ -0,0 +1,260 @@
+package dunlinladder.dialect;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dunlinladder.dialect.ReplyEvent.Reason;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Answers from each format to each other, streamed and whole, cut anywhere, broken anywhere. */
+class RepliesTest {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ReplyWriter.Identity IDENTITY = new ReplyWriter.Identity("7", "shelf", 5, true,
+            false,
+            null);
+
+    private static byte[] recorded(String name) throws IOException {
+        try (InputStream in = RepliesTest.class.getResourceAsStream("/dialect/" + name)) {
+            assertNotNull(in, name);
+            return in.readAllBytes();
+        }
+    }
+
+    static Stream<Arguments> pairs() {
+        return Arrays.stream(Format.values()).flatMap(from -> Arrays.stream(Format.values())
+                .map(to -> Arguments.of(from, to)));
+    }
+
+    /** What an answer says, without how it was cut into pieces. */
+    private static List<String> said(List<ReplyEvent> events) {
+        List<String> said = new ArrayList<>();
+        List<StringBuilder> parts = new ArrayList<>();
+        for (ReplyEvent event : events) {
+            if (event instanceof ReplyEvent.Open open) {
+                parts.add(new StringBuilder(open.kind() + " " + (open.callId() == null ? ""
+                        : open.callId() + " " + open.name() + " ")));
+            } else if (event instanceof ReplyEvent.Grow grow) {
+                parts.get(grow.part()).append(grow.text());
+            } else if (event instanceof ReplyEvent.Close close) {
+                said.add(parts.get(close.part()).toString());
+            } else if (event instanceof ReplyEvent.Finish finish) {
+                said.add("finish " + finish.reason());
+            } else if (event instanceof ReplyEvent.Usage usage) {
+                said.add("usage " + usage.prompt() + " " + usage.cached() + " " + usage.output());
+            } else if (event instanceof ReplyEvent.Failed failed) {
+                said.add("failed " + failed.fault().kind());
+            } else if (event instanceof ReplyEvent.End) {
+                said.add("end");
+            }
+        }
+        return said;
+    }
+
+    private static List<ReplyEvent> read(Format format, byte[] stream) {
+        List<ReplyEvent> events = new ArrayList<>();
+        ReplyReader reader = ReplyReader.of(format);
+        new EventReader((name, data) -> events.addAll(reader.event(name, data)))
+                .read(ByteBuffer.wrap(stream));
+        events.addAll(reader.end());
+        return events;
+    }
+
+    private static String translate(Format from, Format to, byte[] stream, int step) {
+        Translation translation = new Translation(from, to, IDENTITY, true);
+        StringBuilder out = new StringBuilder();
+        for (int at = 0; at < stream.length; at += step) {
+            translation.stream(ByteBuffer.wrap(stream, at, Math.min(step, stream.length - at)), out::append);
+        }
+        translation.end(out::append);
+        return out.toString();
+    }
+
+    private static final List<String> TEXT = List.of("TEXT Zwei B\u00fccher \ud83d\udcda, \"neu\".",
+            "finish STOP",
+            "usage 120 64 9", "end");
+    private static final List<String> CALLS = List.of("TEXT Let me look.",
+            "CALL c1 find {\"title\":\"Emma\"}", "CALL c2 price {\"id\":4}", "finish CALLS", "usage 50 0 30",
+                    "end");
+
+    @ParameterizedTest
+    @EnumSource(Format.class)
+    void eachFormatsStreamIsUnderstood(Format format) throws IOException {
+        assertEquals(TEXT, said(read(format, recorded("text-" + format.key() + ".sse"))));
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Format.class, names = "COMPLETIONS", mode = EnumSource.Mode.EXCLUDE)
+    void callsInPiecesAreUnderstood(Format format) throws IOException {
+        assertEquals(CALLS, said(read(format, recorded("calls-" + format.key() + ".sse"))));
+    }
+
+    /** Cut at every byte or not at all, the client gets the same, and it says what the engine said. */
+    @ParameterizedTest
+    @MethodSource("pairs")
+    void aStreamSaysTheSameInEachOtherFormat(Format from, Format to) throws IOException {
+        byte[] stream = recorded("text-" + from.key() + ".sse");
+        String whole = translate(from, to, stream, stream.length);
+        assertEquals(TEXT, said(read(to, whole.getBytes(StandardCharsets.UTF_8))));
+        for (int step : new int[] {1, 2, 3, 7, 64}) {
+            assertEquals(whole, translate(from, to, stream, step));
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("pairs")
+    void callsSayTheSameInEachOtherFormat(Format from, Format to) throws IOException {
+        if (from != Format.COMPLETIONS && to != Format.COMPLETIONS) {
+            byte[] stream = recorded("calls-" + from.key() + ".sse");
+            assertEquals(CALLS, said(read(to, translate(from, to, stream, 5)
+                    .getBytes(StandardCharsets.UTF_8))));
+        }
+    }
+
+    /** A client that wants one answer gets what the stream says, put together. */
+    @ParameterizedTest
+    @MethodSource("pairs")
+    void aWholeAnswerSaysWhatTheStreamSaid(Format from, Format to) throws IOException {
+        Translation translation = new Translation(from, to, IDENTITY, false);
+        translation.stream(ByteBuffer.wrap(recorded("text-" + from.key() + ".sse")), text -> { });
+        translation.end(text -> { });
+        assertTrue(translation.whole());
+        byte[] body = translation.answer().toString().getBytes(StandardCharsets.UTF_8);
+        assertEquals(TEXT, said(ReplyReader.of(to).whole(body)));
+    }
+
+    /** A stream that ends after any of its events but the last has failed, and its client is told so. */
+    @ParameterizedTest
+    @MethodSource("pairs")
+    void aStreamThatBreaksOffNeverEndsWell(Format from, Format to) throws IOException {
+        String stream = new String(recorded("text-" + from.key() + ".sse"), StandardCharsets.UTF_8);
+        String[] events = stream.split("(?<=\n\n)");
+        int last = events.length;
+        while (last > 0 && events[last - 1].startsWith(":")) {
+            last--;
+        }
+        for (int kept = 0; kept < last; kept++) {
+            byte[] part = String.join("", Arrays.copyOf(events, kept)).getBytes(StandardCharsets.UTF_8);
+            Translation translation = new Translation(from, to, IDENTITY, true);
+            StringBuilder out = new StringBuilder();
+            translation.stream(ByteBuffer.wrap(part), out::append);
+            assertFalse(translation.whole(), "after " + kept);
+            translation.end(out::append);
+            assertEquals(Fault.Kind.GARBLED, translation.fault().kind());
+            List<String> said = said(read(to, out.toString().getBytes(StandardCharsets.UTF_8)));
+            assertTrue(said.get(said.size() - 1).startsWith("failed "), said.toString());
+        }
+    }
+
+    /** An error in the midst of a stream is told in the client's own form, and nothing follows it. */
+    @ParameterizedTest
+    @MethodSource("pairs")
+    void anErrorInMidStreamIsTold(Format from, Format to) throws IOException {
+        String stream = new String(recorded("text-" + from.key() + ".sse"), StandardCharsets.UTF_8);
+        String[] events = stream.split("(?<=\n\n)");
+        String error = from == Format.MESSAGES
+                ? "event: error\ndata: {\"type\":\"error\",\"error\":{\"type\":\"overloaded_error\"}}\n\n"
+                : "data: {\"error\":{\"code\":\"server_error\",\"message\":\"secret host down\"}}\n\n";
+        String broken = events[0] + events[1] + events[2] + error + events[3];
+        String out = translate(from, to, broken.getBytes(StandardCharsets.UTF_8), 9);
+        assertFalse(out.contains("secret"), out);
+        List<String> said = said(read(to, out.getBytes(StandardCharsets.UTF_8)));
+        assertTrue(said.get(said.size() - 1).startsWith("failed "), said.toString());
+        assertFalse(said.contains("end"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "CHAT | {'choices':[{'index':0,'delta':{'content':'a'},'finish_reason':'length'}]} | LENGTH",
+        "CHAT | {'choices':[{'index':0,'delta':{'content':'a'},'finish_reason':'content_filter'}]} | FILTER",
+        "CHAT | {'choices':[{'index':0,'delta':{'content':'a'},'finish_reason':'novel'}]} | UNKNOWN",
+        "MESSAGES | {'type':'message_delta','delta':{'stop_reason':'refusal'}} | REFUSAL",
+        "MESSAGES | {'type':'message_delta','delta':{'stop_reason':'max_tokens'}} | LENGTH",
+        "RESPONSES | {'type':'response.incomplete','response':{'status':'incomplete',"
+                + "'incomplete_details':{'reason':'content_filter'}}} | FILTER",
+        "RESPONSES | {'type':'response.incomplete','response':{'status':'incomplete',"
+                + "'incomplete_details':{'reason':'max_output_tokens'}}} | LENGTH",
+        "COMPLETIONS | {'choices':[{'index':0,'text':'a','finish_reason':'length'}]} | LENGTH"})
+    void eachEndHasItsRow(Format from, String event, Reason reason) {
+        List<ReplyEvent> events = ReplyReader.of(from).event(null, event.replace('\'', '"'));
+        assertEquals(reason, events.stream().filter(e -> e instanceof ReplyEvent.Finish)
+                .map(e -> ((ReplyEvent.Finish) e).reason()).findFirst().orElseThrow());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "400 | {'error':{'type':'invalid_request_error','message':'x is bad','param':'x'}} | INVALID | true",
+        "429 | {'error':{'type':'rate_limit_error','message':'your key'}} | RATE_LIMIT | false",
+        "529 | {'type':'error','error':{'type':'overloaded_error'}} | OVERLOADED | false",
+        "500 | {'error':{'type':'never heard of'}} | SERVER | false",
+        "418 | {} | SERVER | false",
+        "404 | {'error':{'code':'model_not_found'}} | SERVER | false",
+        "0 | {'error':{'code':'content_filter'}} | FILTERED | true"})
+    void eachErrorHasItsRow(int status, String body, Fault.Kind kind, boolean mine) throws IOException {
+        JsonNode node = JSON.readTree(body.replace('\'', '"'));
+        assertEquals(kind, Faults.read(status, node).kind());
+        assertEquals(mine, Faults.ofTheRequest(status, node));
+        for (Format to : Format.values()) {
+            JsonNode told = Faults.write(to, Faults.read(status, node));
+            assertFalse(told.toString().contains("your key"));
+            assertTrue(told.path("error").path("message").isTextual());
+        }
+    }
+
+    @Test
+    void onlyWhatNeverRanIsRefused() {
+        assertEquals(Faults.Verdict.REFUSED, Faults.verdict(true, false));
+        assertEquals(Faults.Verdict.FAILED, Faults.verdict(true, true));
+        assertEquals(Faults.Verdict.FAILED, Faults.verdict(false, false));
+        assertTrue(Faults.knowsNot(404, null));
+        assertTrue(Faults.knowsNot(415, null));
+        assertFalse(Faults.knowsNot(500, null));
+    }
+
+    /** The client sees one id, model and time through the stream, whatever the engine calls itself. */
+    @ParameterizedTest
+    @MethodSource("pairs")
+    void theAnswersIdentityIsTheGateways(Format from, Format to) throws IOException {
+        String out = translate(from, to, recorded("text-" + from.key() + ".sse"), 11);
+        assertFalse(out.contains("engine-model") || out.contains("engine-id"), out);
+        assertTrue(out.contains("shelf"));
+    }
+
+    @Test
+    void logprobsEchoAndOlderCallsKeepTheirForm() throws IOException {
+        ReplyWriter.Identity old = new ReplyWriter.Identity("7", "shelf", 5, false, true, "once ");
+        Translation text = new Translation(Format.CHAT, Format.COMPLETIONS, old, false);
+        text.stream(ByteBuffer.wrap(("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"up\"},"
+                + "\"logprobs\":{\"content\":[{\"token\":\"up\",\"logprob\":-1.5,\"top_logprobs\":[{\"token\":\"on\","
+                + "\"logprob\":-2.0}]}]},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
+                .getBytes(StandardCharsets.UTF_8)), t -> { });
+        JsonNode choice = text.answer().path("choices").path(0);
+        assertEquals("once up", choice.path("text").asText());
+        assertEquals("{\"tokens\":[\"up\"],\"token_logprobs\":[-1.5],\"top_logprobs\":[{\"on\":-2.0}]}",
+                choice.path("logprobs").toString());
+        Translation call = new Translation(Format.CHAT, Format.CHAT, old, false);
+        call.stream(ByteBuffer.wrap(recorded("calls-chat.sse")), t -> { });
+        JsonNode message = call.answer().path("choices").path(0);
+        assertEquals("function_call", message.path("finish_reason").asText());
+        assertEquals("find", message.path("message").path("function_call").path("name").asText());
+        assertNull(call.fault());
+    }
+}
--- a/src/test/java/dunlinladder/membership/FollowingTest.java
+++ b/src/test/java/dunlinladder/membership/FollowingTest.java
@@ -55,7 +55,8 @@
     }
 
     private static News news(long version, Decider.Scope scope, String... engines) {
-        return new News(version, scope, List.of(engines).stream().map(e -> new Engine(e.split("=")[0], "", 0, 0,
+        return new News(version, scope, List.of(engines).stream().map(e -> new Engine(e.split("=")[0], "", 0,
+                0,
                 0, Engine.State.valueOf(e.split("=")[1]), 1, 0)).toList());
     }
 
--- a/src/test/java/dunlinladder/wire/engine/ConnectionsTest.java
+++ b/src/test/java/dunlinladder/wire/engine/ConnectionsTest.java
@@ -21,7 +21,8 @@
 @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class ConnectionsTest {
 
-    static final Limits LIMITS = new Limits(1024, 1024, 16384, 16384, 16384, 16, 4096, 10, 10, 10, 5, 10, 0.02,
+    static final Limits LIMITS = new Limits(1024, 1024, 16384, 16384, 16384, 16, 4096, 10, 10, 10, 5, 10,
+            0.02,
             30, 4, 0.25, 4, 0.02, 1, 2.5, 0.04, 10, 0.1, 0.6);
 
     private static PoolEntry<HttpHost, IOSession> lease(Connections connections, String address) {
