Generations: which engine may have which request, moves in stages, conformance files, a demo

Need: while a fleet moves to servers of a newer request format, each request may go only where its fields can be expressed and where the state read for it can be taken; a move must stop by itself when it goes badly, at each gateway alone. New package generation, without I/O: the operator's generations and moves (deploy/chat.toml, docs/ generations.md), a stage's progress as a state machine with going back and ever longer waits, evidence of engines that do not speak what the file says (tried again rarely, with lookups only), and the routing that offers the module its engines; the module chooses as before (its interface takes a predicate, one line more in Logic). A message for an engine is made when it is known which, so that a further attempt may go out in another format.

Moves under load, breaks at each event and engines that do not know the path are tested on real sockets.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build: the program; test: unit and integration tests; lint: style; run: one gateway from RELAY_CONFIG.
-.PHONY: build test lint run docs clean
+.PHONY: build test lint run docs demo conformance clean
 
 build:
 	mvn -q -DskipTests package
@@ -17,5 +17,13 @@
 docs: build
 	java -cp target/dunlinladder.jar dunlinladder.lifecycle.Pages docs
 
+# Shows the program at work: stand-ins of two generations, the gateway, clients of three formats.
+demo: build
+	java -cp target/dunlinladder.jar dunlinladder.demo.Demo
+
+# Recorded requests of all formats against engines of each other one, field by field.
+conformance:
+	mvn -B -ntp test -Dtest=ConformanceTest
+
 clean:
 	mvn -q clean
--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -192,18 +192,20 @@
                     request.serviceClass(), trail);
         }
         if (engine == null || forbidden) {
-            // Nothing is sent; without an engine, because the list lost it since the decision.
-            boolean gone = entry.gone();
-            Outcome unsent = Outcome.of(Outcome.Ending.CONNECT_FAILED);
-            trail.ended(unsent, clock.now());
-            decider.ended(attempt, unsent, gone);
-            return gone;
+            // Without an engine, because the list lost it since the decision.
+            return unsent(entry, trail, attempt);
         }
         boolean[] begun = {false};
-        EngineCalls.Call call = calls.send(attempt, entry.client, () -> {
-            begun[0] = true;
-            decider.firstToken(attempt);
-        });
+        EngineCalls.Call call;
+        try {
+            call = calls.send(attempt, entry.client, () -> {
+                begun[0] = true;
+                decider.firstToken(attempt);
+            });
+        } catch (RuntimeException e) {
+            LOG.warn("event=not_sent request={} engine={}", request.id(), engine.id(), e);
+            return unsent(entry, trail, attempt);
+        }
         entry.sent(call);
         Outcome outcome = call.await();
         trail.ended(outcome, clock.now());
@@ -221,4 +223,13 @@
         }
         return last;
     }
+
+    /** Nothing of an attempt was sent; true when the request is over with it. */
+    private boolean unsent(Held entry, Trail trail, Attempt attempt) {
+        boolean gone = entry.gone();
+        Outcome outcome = Outcome.of(Outcome.Ending.CONNECT_FAILED);
+        trail.ended(outcome, clock.now());
+        decider.ended(attempt, outcome, gone);
+        return gone;
+    }
 }
--- a/src/main/java/dunlinladder/decision/Decisions.java
+++ b/src/main/java/dunlinladder/decision/Decisions.java
@@ -70,7 +70,7 @@
                 tell(new Router.Arrival(new Router.Request(request.id(), request.serviceClass(),
                         request.tenant(), request.session(), request.deadline(), 0, request.prefix(),
                         request.promptTokens(), request.prefixTokens(), request.maxOut(), request.retry(),
-                        request.returned())));
+                        request.returned(), request.fits())));
             }
             while (entry.steps.isEmpty() && !entry.gone) {
                 entry.ready.await();
--- a/src/main/java/dunlinladder/decision/Logic.java
+++ b/src/main/java/dunlinladder/decision/Logic.java
@@ -544,7 +544,7 @@
     /** Servers that a request may go to: open, healthy or due a trial, within a cold server's budget. */
     private List<Worker> usable(Job job, Predicate<Worker> role) {
         List<Worker> open = workers.values().stream().filter(w -> w.open && now >= w.fullUntil && role.test(w)
-                && repeatAllowed(job, w) && coldBudgetLeft(w)).toList();
+                && job.request.fits().test(w.id) && repeatAllowed(job, w) && coldBudgetLeft(w)).toList();
         List<Worker> fit = open.stream().filter(w -> !suspect(w)
                 || w.pending.isEmpty() && now >= w.nextTrialAt).toList();
         List<Worker> fresh = (open.size() - fit.size() > open.size() * MOST_BARRED ? open : fit).stream()
--- a/src/main/java/dunlinladder/decision/Router.java
+++ b/src/main/java/dunlinladder/decision/Router.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * What the decision module is told and what it answers: the settings of a site, the events that reach one
@@ -56,10 +57,22 @@
     record Member(String worker, int zone, int kind, int cell, Lifecycle lifecycle, double weight,
             double startedAt) { }
 
-    /** A client's request; {@code hint} is a rough answer time at the token aim, 0 if absent. */
+    /**
+     * A client's request; {@code hint} is a rough answer time at the token aim, 0 if absent. {@code fits}
+     * tells whether a server, by its id, may have it at all.
+     */
     record Request(String id, int serviceClass, int tenant, long session, double expires, double hint,
             long prefix, double promptTokens, double prefixTokens, double maxOut, boolean retry,
-            boolean returned) { }
+            boolean returned, Predicate<String> fits) {
+
+        /** A request that any server may have. */
+        public Request(String id, int serviceClass, int tenant, long session, double expires, double hint,
+                long prefix, double promptTokens, double prefixTokens, double maxOut, boolean retry,
+                boolean returned) {
+            this(id, serviceClass, tenant, session, expires, hint, prefix, promptTokens, prefixTokens, maxOut,
+                    retry, returned, worker -> true);
+        }
+    }
 
     /** Anything that a router hears. */
     sealed interface Event permits Members, Arrival, FirstToken, Outcome, ClientGone, Timer { }
--- /dev/null
+++ b/src/main/java/dunlinladder/demo/Engine.java
@@ -0,0 +1,92 @@
+package dunlinladder.demo;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import dunlinladder.dialect.Format;
+import dunlinladder.dialect.Part;
+import dunlinladder.dialect.ReplyEvent;
+import dunlinladder.dialect.ReplyWriter;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+
+/** A model server on loopback that reads or writes in one format and tells what it saw. */
+final class Engine implements AutoCloseable {
+
+    private final String name;
+    private final boolean reads;
+    private final Format format;
+    private final Consumer<String> saw;
+    private final HttpServer server;
+
+    Engine(String name, boolean reads, Format format, Consumer<String> saw) throws IOException {
+        this.name = name;
+        this.reads = reads;
+        this.format = format;
+        this.saw = saw;
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+        server.setExecutor(Executors.newCachedThreadPool(task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        }));
+        server.createContext("/", this::serve);
+        server.start();
+    }
+
+    /** Its entry in discovery's list. */
+    String listed() {
+        return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:" + server.getAddress().getPort()
+                + "\",\"site\":\"cambridge-a\",\"class\":\"" + (reads ? "prompt" : "answer")
+                + "\",\"block\":1,\"health\":\"active\",\"share\":1.0,\"born_ms\":0}";
+    }
+
+    private void serve(HttpExchange exchange) throws IOException {
+        try (exchange) {
+            String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+            String path = exchange.getRequestURI().getPath();
+            if (exchange.getRequestMethod().equals("DELETE")) {
+                exchange.sendResponseHeaders(204, -1);
+                return;
+            }
+            saw.accept(name + " (" + (reads ? "reads" : "writes") + ", " + format.key() + ") got " + path
+                    + " "
+                    + body);
+            if (!path.equals(format.path())) {
+                exchange.sendResponseHeaders(404, -1);
+            } else if (reads) {
+                byte[] read = "{\"cached_tokens\":0}".getBytes(StandardCharsets.UTF_8);
+                exchange.sendResponseHeaders(202, read.length);
+                exchange.getResponseBody().write(read);
+            } else {
+                exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+                exchange.sendResponseHeaders(200, 0);
+                write(exchange.getResponseBody());
+            }
+        }
+    }
+
+    private void write(OutputStream out) throws IOException {
+        ReplyWriter writer = ReplyWriter.of(format, new ReplyWriter.Identity(name, name, 1, true, false,
+                null));
+        for (ReplyEvent event : List.of(new ReplyEvent.Begin(name, name, 1),
+                new ReplyEvent.Open(0, 0, Part.Kind.TEXT, null, null),
+                new ReplyEvent.Grow(0, 0, "Three copies ", null),
+                new ReplyEvent.Grow(0, 0, "on the second shelf.", null), new ReplyEvent.Close(0, 0),
+                new ReplyEvent.Finish(0, ReplyEvent.Reason.STOP, null), new ReplyEvent.Usage(24, 0, 8, -1),
+                new ReplyEvent.End())) {
+            out.write(writer.stream(event).getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+    }
+}
--- a/src/main/java/dunlinladder/dialect/ReplyReader.java
+++ b/src/main/java/dunlinladder/dialect/ReplyReader.java
@@ -130,7 +130,7 @@
 
     final void seal(String key, String seal) {
         int[] at = open.get(key);
-        if (at != null && seal != null) {
+        if (at != null && seal != null && !seal.isEmpty()) {
             out.add(new ReplyEvent.Seal(at[0], at[1], seal));
         }
     }
--- a/src/main/java/dunlinladder/dialect/Requests.java
+++ b/src/main/java/dunlinladder/dialect/Requests.java
@@ -160,6 +160,25 @@
         return body;
     }
 
+    /**
+     * The client's field that a format can't express; null where it can express all. Nothing is written, so
+     * that it may be asked for each format and request.
+     */
+    public static String lacking(Format to, Conversation talk) {
+        Table table = Table.of(talk.from(), to);
+        for (Map.Entry<Setting, JsonNode> entry : talk.settings().entrySet()) {
+            if (table.action(entry.getKey()) == Action.REFUSED && !entry.getKey().idle(entry.getValue())) {
+                return name(talk, entry.getKey());
+            }
+        }
+        for (Part.Kind kind : talk.kinds()) {
+            if (table.action(kind) == Action.REFUSED) {
+                return Turns.named(talk.from(), kind);
+            }
+        }
+        return null;
+    }
+
     private static boolean given(ArrayNode list, String word) {
         for (JsonNode each : list) {
             if (each.asText().equals(word)) {
--- a/src/main/java/dunlinladder/dialect/Table.java
+++ b/src/main/java/dunlinladder/dialect/Table.java
@@ -102,8 +102,9 @@
 
                 Printed by `dunlinladder.dialect.Table` from the tables that the program carries out; a test
                 holds this page against them. A cell names the field in the engine's format and what becomes
-                of it on its way there. `dropped` comes with a warning header unless the value asks for nothing
-                (`n` of 1, say), `refused` with an error that names the field, `here` is done by the gateway.
+                of it on its way there. `dropped` comes with a warning header unless the value asks for
+                nothing (`n` of 1, say), `refused` with an error that names the field, `here` is done by the
+                gateway.
                 Where `messages` needs a `max_tokens` that the client did not give, it gets the model's bound
                 from the operator's file.
                 """);
--- a/src/main/java/dunlinladder/dialect/Translation.java
+++ b/src/main/java/dunlinladder/dialect/Translation.java
@@ -40,7 +40,7 @@
         reader.whole(content).forEach(this::event);
     }
 
-    /** The engine's stream has ended in order; without its closing event the answer has failed all the same. */
+    /** The engine's stream ended in order; without its closing event the answer has failed all the same. */
     public void end(Consumer<String> to) {
         out = to;
         reader.end().forEach(this::event);
--- a/src/main/java/dunlinladder/dialect/Turns.java
+++ b/src/main/java/dunlinladder/dialect/Turns.java
@@ -243,8 +243,7 @@
             List<Part> parts = new ArrayList<>();
             for (Part part : turn.parts()) {
                 switch (table.action(part.kind())) {
-                    case REFUSED -> throw Untranslatable.lacking(where(talk.from()) + " of type "
-                            + part.kind().name().toLowerCase(Locale.ROOT), to);
+                    case REFUSED -> throw Untranslatable.lacking(named(talk.from(), part.kind()), to);
                     case DROPPED -> warnings.add("a part of type " + part.kind().name()
                             .toLowerCase(Locale.ROOT) + " was left out");
                     default -> parts.add(part);
@@ -263,6 +262,11 @@
         }
     }
 
+    /** A kind of part, for messages to a client. */
+    static String named(Format from, Part.Kind kind) {
+        return where(from) + " of type " + kind.name().toLowerCase(Locale.ROOT);
+    }
+
     private static String where(Format from) {
         return from == Format.RESPONSES ? "input" : from == Format.COMPLETIONS ? "prompt" : "messages";
     }
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -7,6 +7,7 @@
 import dunlinladder.core.Limits;
 import dunlinladder.decision.Decisions;
 import dunlinladder.decision.Router;
+import dunlinladder.generation.Routing;
 import dunlinladder.membership.News;
 import dunlinladder.wire.Server;
 import dunlinladder.wire.chat.ChatExchange;
@@ -74,7 +75,7 @@
         int clients = limits.clientConnections() / (operator == null ? 1 : 2);
         server = new Server(clients, limits, () -> new PlatformExchange(shared));
         ChatExchange.Shared chats = operator == null ? null : new ChatExchange.Shared(dispatcher,
-                operator.settings(), clock, limits, () -> closing, bodies);
+                operator.settings(), routing(clock), engines, clock, limits, () -> closing, bodies);
         chat = operator == null ? null : new Server(clients, limits, () -> new ChatExchange(chats));
         hosts = new HostReader(config.zones(), config.kinds());
         known = known(config);
@@ -100,6 +101,28 @@
         };
     }
 
+    /** Which engines may have which of the chat front's requests; its standing is logged when it changes. */
+    private Routing routing(Clock clock) {
+        List<Router.Role> roles = config.settings().roleByKind();
+        Routing routing = new Routing(operator.settings().engines(), operator.settings().move(),
+                engines::listed,
+                engine -> switch (engine.kind() < roles.size() ? roles.get(engine.kind())
+                        : Router.Role.BOTH) {
+                    case READ -> Routing.READS;
+                    case WRITE -> Routing.WRITES;
+                    case BOTH -> Routing.READS | Routing.WRITES;
+                }, config.seed(), clock.now());
+        String[] told = {""};
+        timer.scheduleWithFixedDelay(() -> {
+            routing.tick(clock.now());
+            if (!told[0].equals(routing.standing())) {
+                told[0] = routing.standing();
+                LOG.info("event=generations {}", told[0]);
+            }
+        }, 1, 1, TimeUnit.SECONDS);
+        return routing;
+    }
+
     private static Thread daemon(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
--- a/src/main/java/dunlinladder/lifecycle/Operator.java
+++ b/src/main/java/dunlinladder/lifecycle/Operator.java
@@ -1,14 +1,13 @@
 package dunlinladder.lifecycle;
 
 import dunlinladder.decision.Router;
-import dunlinladder.dialect.Format;
 import dunlinladder.dialect.Requests;
+import dunlinladder.generation.Generation;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
 import dunlinladder.wire.chat.ChatSettings;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -68,19 +67,16 @@
                 if (number(key, value) != Math.rint(number(key, value))) {
                     throw new BadInput(key + " must be a whole number, not " + value);
                 }
-            } else if (key.equals("engines")) {
-                if (Format.of(value).isEmpty()) {
-                    throw new BadInput(key + " must be one of " + Arrays.stream(Format.values())
-                            .map(Format::key).toList() + ", not " + value);
-                }
             } else if (key.equals("unknown_fields")) {
                 if (!value.matches("pass|drop|refuse")) {
                     throw new BadInput(key + " must be pass, drop or refuse, not " + value);
                 }
-            } else if (!key.equals("listen") && !(key.startsWith("models.") && last.equals("class"))) {
+            } else if (!Generations.knows(key) && !key.equals("listen") && !(key.startsWith("models.")
+                    && last.equals("class"))) {
                 throw new BadInput("unknown key " + key);
             }
         });
+        Generations.move(flat, Generations.read(flat, null, null));
         for (String model : names(flat, "models")) {
             if (!flat.containsKey("models." + model + ".class")) {
                 throw new BadInput("models." + model + ".class is missing");
@@ -108,6 +104,7 @@
 
     /** Checks names against the deployment's classes and tenants. */
     static void check(Map<String, String> flat, Config config) {
+        Generations.read(flat, config.kinds(), config.zones());
         flat.forEach((key, value) -> {
             if (key.startsWith("deadlines.")) {
                 index(config.classes(), key.substring(10), key, "class");
@@ -152,10 +149,11 @@
             String own = flat.get("deadlines." + config.classes().get(i));
             deadlines.add(own == null ? config.deadlines().get(i) : Double.valueOf(own));
         }
+        List<Generation> generations = Generations.read(flat, config.kinds(), config.zones());
         return new Chat(Config.address(flat.get("listen"), "listen"), new ChatSettings(tenants, models,
                 deadlines, config.settings().classes().stream()
                         .map(c -> c.effect() == Router.Effect.UNSAFE).toList(),
-                Format.of(flat.getOrDefault("engines", "chat")).orElseThrow(), Requests.Unknown.valueOf(
+                generations, Generations.move(flat, generations), Requests.Unknown.valueOf(
                         flat.getOrDefault("unknown_fields", "pass").toUpperCase(Locale.ROOT))));
     }
 }
--- a/src/main/java/dunlinladder/wire/chat/ChatError.java
+++ b/src/main/java/dunlinladder/wire/chat/ChatError.java
@@ -40,7 +40,7 @@
 
     Fault.Kind kind() {
         return switch (status) {
-            case 400 -> Fault.Kind.INVALID;
+            case 400 -> "unsupported_parameter".equals(code) ? Fault.Kind.UNTRANSLATABLE : Fault.Kind.INVALID;
             case 401 -> Fault.Kind.AUTHENTICATION;
             case 404 -> Fault.Kind.NOT_FOUND;
             case 405 -> Fault.Kind.METHOD;
--- a/src/main/java/dunlinladder/wire/chat/ChatExchange.java
+++ b/src/main/java/dunlinladder/wire/chat/ChatExchange.java
@@ -4,10 +4,14 @@
 import dunlinladder.core.Client;
 import dunlinladder.core.Clock;
 import dunlinladder.core.Dispatcher;
+import dunlinladder.core.Engine;
+import dunlinladder.core.Engines;
 import dunlinladder.core.Limits;
+import dunlinladder.core.Outcome;
 import dunlinladder.dialect.Conversation;
 import dunlinladder.dialect.EventReader;
 import dunlinladder.dialect.Fault;
+import dunlinladder.dialect.Faults;
 import dunlinladder.dialect.Format;
 import dunlinladder.dialect.Pieces;
 import dunlinladder.dialect.ReplyWriter;
@@ -15,14 +19,19 @@
 import dunlinladder.dialect.Setting;
 import dunlinladder.dialect.Translation;
 import dunlinladder.dialect.Untranslatable;
+import dunlinladder.generation.Generation;
+import dunlinladder.generation.Routing;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
 import dunlinladder.wire.ServerExchange;
+import dunlinladder.wire.engine.Forward;
+import dunlinladder.wire.engine.Outgoing;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,13 +45,13 @@
  * One request in any of the published formats; its client as the core sees it. Where the engines speak the
  * client's own format its body goes on as it came, else it is translated there and its answer back.
  */
-public final class ChatExchange extends ServerExchange implements Client {
+public final class ChatExchange extends ServerExchange implements Client, Outgoing {
 
     private static final String JSON = "application/json";
 
     /** What all exchanges of this front share. */
-    public record Shared(Dispatcher dispatcher, ChatSettings settings, Clock clock, Limits limits,
-            BooleanSupplier closing, AtomicLong bodies) { }
+    public record Shared(Dispatcher dispatcher, ChatSettings settings, Routing routing, Engines engines,
+            Clock clock, Limits limits, BooleanSupplier closing, AtomicLong bodies) { }
 
     private static final String MODELS = "/v1/models";
 
@@ -52,9 +61,15 @@
     private final StringBuilder out = new StringBuilder();
     private ChatRequest request;
     private Format format = Format.CHAT;
-    /** Null where the engines speak the client's own format. */
-    private Translation translation;
+    /** Null where all engines speak the client's own format. */
     private Conversation talk;
+    private Routing.Ask ask;
+    private Format rendered;
+    /** The generation to which the engine of the last attempt belonged when it was sent. */
+    private volatile String sentIn;
+    private byte[] forward;
+    /** Of the attempt that is out; null where its engine speaks the client's own format. */
+    private volatile Translation translation;
     private final List<String> warnings = new ArrayList<>();
     private String id;
     private boolean open;
@@ -94,21 +109,27 @@
                         Map.of());
                 return;
             }
-            Format engines = shared.settings.engines();
-            boolean plain = format == Format.CHAT && engines == Format.CHAT;
-            request = plain ? ChatRequest.read(content, shared.settings, tenant)
-                    : translated(content, engines, tenant);
             id = UUID.randomUUID().toString().replace("-", "");
-            translation = plain ? null : translation(engines, content);
+            Collection<Format> formats = shared.routing.formats();
+            boolean plain = format == Format.CHAT && formats.equals(List.of(Format.CHAT));
+            request = plain ? ChatRequest.read(content, shared.settings, tenant) : parsed(content, tenant);
+            boolean once = shared.settings.once().get(request.kind().serviceClass());
+            ask = new Routing.Ask(id, tenant, !once);
+            if (!plain) {
+                fit(formats, now);
+            }
             take(request.toCore(id, tenant, now + shared.settings.deadlines().get(request.kind()
-                    .serviceClass()), engines.path()), this);
+                    .serviceClass()), this, engine -> {
+                Engine listed = shared.engines.find(engine);
+                return listed != null && shared.routing.may(listed, ask, shared.clock.now());
+            }), this);
         } catch (ChatError e) {
             answer(e.status(format), JSON, e.json(format), Map.of());
         }
     }
 
-    /** Reads a request in the client's format and expresses it in the engines'. */
-    private ChatRequest translated(byte[] content, Format engines, int tenant) {
+    /** Reads a request in the client's format. */
+    private ChatRequest parsed(byte[] content, int tenant) {
         try {
             talk = Requests.read(format, Pieces.body(content), shared.settings.unknown(), warnings);
             if (talk.number(Setting.CHOICES, 1) != 1) {
@@ -117,26 +138,95 @@
             if (talk.number(Setting.BEST_OF, 1) != 1) {
                 throw ChatError.invalid("only one choice is offered: best_of must be 1", "best_of");
             }
-            ChatSettings.Model kind = ChatRequest.kind(shared.settings, talk.text(Setting.MODEL));
-            ObjectNode body = Requests.write(engines, talk, kind.mostTokens(), warnings);
+            return ChatRequest.of(talk, shared.settings, tenant);
+        } catch (Untranslatable e) {
+            throw refused(e);
+        }
+    }
+
+    private static ChatError refused(Untranslatable e) {
+        return new ChatError(400, e.getMessage(), e.field(),
+                e.malformed() ? "invalid_value" : "unsupported_parameter");
+    }
+
+    /**
+     * Finds out which formats can express the request; where no engine speaks one, the client is told now.
+     */
+    private void fit(Collection<Format> formats, double now) {
+        for (Format each : formats) {
+            String field = Requests.lacking(each, talk);
+            if (field != null) {
+                ask.lacks(each, field);
+            }
+        }
+        if (formats.size() == 1 && Requests.lacking(formats.iterator().next(), talk) == null) {
+            try {
+                // What only shows when it is written must still be told at once.
+                render(formats.iterator().next());
+            } catch (Untranslatable e) {
+                throw refused(e);
+            }
+        }
+        shared.routing.asked(ask, now);
+        shared.routing.hopeless(ask, now).ifPresent(field -> {
+            throw new ChatError(400, field
+                    + " can't be expressed in any format that the model's servers speak",
+                    field, "unsupported_parameter");
+        });
+    }
+
+    // ---- The engines' side: what goes to each, and what they show ----
+
+    @Override
+    public Forward to(Engine engine) {
+        Generation generation = shared.routing.of(engine).orElse(null);
+        Format engines = generation == null ? Format.CHAT : generation.format();
+        sentIn = generation == null ? null : generation.name();
+        shared.routing.sent(engine);
+        if (talk == null) {
+            translation = null;
+            return new Forward("POST", engines.path(), JSON, request.forward());
+        }
+        String echo = talk.flag(Setting.ECHO) && engines != Format.COMPLETIONS ? talk.turns().get(0).text()
+                : null;
+        translation = new Translation(engines, format, new ReplyWriter.Identity(id, request.model(),
+                (long) shared.clock.now(), request.usage(), talk.legacy(), echo), request.stream());
+        return new Forward("POST", engines.path(), JSON, render(engines));
+    }
+
+    /** The request in a format; written once, and again only for an attempt at an engine of another. */
+    private byte[] render(Format engines) {
+        if (rendered != engines) {
+            List<String> left = new ArrayList<>();
+            ObjectNode body = Requests.write(engines, talk, request.kind().mostTokens(), left);
+            left.stream().filter(line -> !warnings.contains(line)).forEach(warnings::add);
             // Engines only stream, and the usage is wanted for the answer's end whatever the client asks.
             body.put("stream", true);
             if (engines == Format.CHAT || engines == Format.COMPLETIONS) {
                 body.putObject("stream_options").put("include_usage", true);
             }
-            return ChatRequest.of(talk, shared.settings, tenant, body.toString().getBytes(
-                    StandardCharsets.UTF_8));
-        } catch (Untranslatable e) {
-            throw new ChatError(400, e.getMessage(), e.field(),
-                    e.malformed() ? "invalid_value" : "unsupported_parameter");
+            forward = body.toString().getBytes(StandardCharsets.UTF_8);
+            rendered = engines;
         }
+        return forward;
     }
 
-    private Translation translation(Format engines, byte[] content) {
-        String echo = talk.flag(Setting.ECHO) && engines != Format.COMPLETIONS ? talk.turns().get(0).text()
-                : null;
-        return new Translation(engines, format, new ReplyWriter.Identity(id, request.model(),
-                (long) shared.clock.now(), request.usage(), talk.legacy(), echo), request.stream());
+    @Override
+    public void ended(Engine engine, Outcome outcome, int status, double firstSeconds) {
+        double now = shared.clock.now();
+        if (outcome.ending() == Outcome.Ending.READ) {
+            ask.readBy(sentIn);
+        } else if (outcome.ending() == Outcome.Ending.FULL && outcome.note() == 1) {
+            ask.readBy(null);
+        }
+        if (outcome.ending() == Outcome.Ending.ERROR && Faults.knowsNot(status, null)) {
+            shared.routing.knowsNot(engine, now);
+            return;
+        }
+        boolean ok = outcome.ending() == Outcome.Ending.OK || outcome.ending() == Outcome.Ending.READ;
+        shared.routing.ended(engine, ok || !Double.isNaN(firstSeconds), !ok
+                && outcome.ending() != Outcome.Ending.CANCELLED && outcome.ending() != Outcome.Ending.FULL,
+                firstSeconds, now);
     }
 
     /** Headers of an answer: what was left out of the request is told, not passed over. */
--- a/src/main/java/dunlinladder/wire/chat/ChatRequest.java
+++ b/src/main/java/dunlinladder/wire/chat/ChatRequest.java
@@ -1,18 +1,19 @@
 package dunlinladder.wire.chat;
 
+import dunlinladder.core.Payload;
 import dunlinladder.core.Request;
 import dunlinladder.dialect.Conversation;
 import dunlinladder.dialect.Setting;
 import dunlinladder.dialect.Turn;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
-import dunlinladder.wire.engine.Forward;
 import dunlinladder.wire.platform.RequestReader;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * A chat completion request: checked, and read for what the core wants to know.
@@ -97,8 +98,8 @@
         return content == null ? "" : message.text("content");
     }
 
-    /** Figures of a request that is translated; {@code forward} is its body in the engines' format. */
-    static ChatRequest of(Conversation talk, ChatSettings settings, int tenant, byte[] forward) {
+    /** Figures of a request that is translated; its body depends on the engine. */
+    static ChatRequest of(Conversation talk, ChatSettings settings, int tenant) {
         String model = talk.text(Setting.MODEL);
         ChatSettings.Model kind = kind(settings, model);
         StringBuilder opening = new StringBuilder(tenant + "\n" + model);
@@ -119,7 +120,7 @@
                 Math.ceil(characters / CHARACTERS_PER_TOKEN),
                 shared == null ? 0 : Math.floor(shared.length() / CHARACTERS_PER_TOKEN),
                 talk.number(Setting.MAX_OUTPUT, kind.mostTokens()), RequestReader.key(opening.toString()),
-                shared == null ? 0 : RequestReader.key(shared), forward);
+                shared == null ? 0 : RequestReader.key(shared), null);
     }
 
     /** What a model's name stands for; throws a {@link ChatError} where it is not known. */
@@ -139,9 +140,8 @@
     }
 
     /** The request as the core knows it. */
-    Request toCore(String id, int tenant, double deadline, String path) {
+    Request toCore(String id, int tenant, double deadline, Payload payload, Predicate<String> fits) {
         return new Request(id, kind.serviceClass(), tenant, session, prefix, promptTokens, prefixTokens,
-                maxOut, deadline, false, false,
-                new Forward("POST", path, "application/json", forward));
+                maxOut, deadline, false, false, payload, fits);
     }
 }
--- a/src/main/java/dunlinladder/wire/chat/ChatSettings.java
+++ b/src/main/java/dunlinladder/wire/chat/ChatSettings.java
@@ -1,7 +1,8 @@
 package dunlinladder.wire.chat;
 
-import dunlinladder.dialect.Format;
 import dunlinladder.dialect.Requests;
+import dunlinladder.generation.Generation;
+import dunlinladder.generation.Move;
 import java.util.List;
 import java.util.Map;
 
@@ -12,11 +13,12 @@
  * @param models    model name to its class
  * @param deadlines seconds until a first token is no longer waited for, by class
  * @param once      by class, whether a request must never run twice
- * @param engines   the format that the engines speak
+ * @param engines   which engines speak which format, in the order in which they are asked
+ * @param move      how the fleet moves between two of them, null where it does not
  * @param unknown   what becomes of fields that no format's table has
  */
 public record ChatSettings(Map<String, Integer> tenants, Map<String, Model> models, List<Double> deadlines,
-        List<Boolean> once, Format engines, Requests.Unknown unknown) {
+        List<Boolean> once, List<Generation> engines, Move move, Requests.Unknown unknown) {
 
     /** What a model name stands for; {@code mostTokens} holds where the client sets no bound. */
     public record Model(int serviceClass, int mostTokens) { }
--- a/src/main/java/dunlinladder/wire/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/wire/engine/EngineCall.java
@@ -41,7 +41,10 @@
     private enum Phase { SENDING, SENT, STREAMING }
 
     private final Attempt attempt;
+    private final Outgoing outgoing;
     private final Forward forward;
+    private final double startedAt;
+    private double firstAt = Double.NaN;
     private final Client client;
     private final Runnable first;
     private final Gate gate;
@@ -64,7 +67,9 @@
             Client client, Runnable first) {
         super(connections);
         this.attempt = attempt;
-        this.forward = (Forward) attempt.request().payload();
+        this.outgoing = (Outgoing) attempt.request().payload();
+        this.forward = outgoing.to(attempt.engine());
+        this.startedAt = clock.now();
         this.client = client;
         this.first = first;
         this.gate = gate;
@@ -122,7 +127,10 @@
     }
 
     private synchronized void settle(Outcome outcome) {
-        done.complete(outcome);
+        if (!done.isDone()) {
+            outgoing.ended(attempt.engine(), outcome, status, firstAt - startedAt);
+            done.complete(outcome);
+        }
     }
 
     // ---- The engine's side ----
@@ -274,6 +282,7 @@
                 return;
             }
             begins = phase != Phase.STREAMING;
+            firstAt = begins ? clock.now() : firstAt;
             phase = Phase.STREAMING;
             heardAt = clock.now();
             untaken += whole.remaining();
--- a/src/main/java/dunlinladder/wire/engine/Forward.java
+++ b/src/main/java/dunlinladder/wire/engine/Forward.java
@@ -1,7 +1,12 @@
 package dunlinladder.wire.engine;
 
-import dunlinladder.core.Payload;
+import dunlinladder.core.Engine;
 
-/** What goes to an engine as the client sent it: method, path with query, content type and body. */
-public record Forward(String method, String target, String contentType, byte[] body) implements Payload {
+/** What goes to an engine, the same to all: method, path with query, content type and body. */
+public record Forward(String method, String target, String contentType, byte[] body) implements Outgoing {
+
+    @Override
+    public Forward to(Engine engine) {
+        return this;
+    }
 }
--- a/src/test/java/dunlinladder/ArchitectureTest.java
+++ b/src/test/java/dunlinladder/ArchitectureTest.java
@@ -27,7 +27,9 @@
         "dialect, wire", "dialect, core", "dialect, decision", "dialect, lifecycle", "dialect, membership",
         "decision, wire", "decision, lifecycle", "decision, dialect", "decision, membership",
         "wire.platform, decision", "wire.chat, decision", "wire.engine, decision", "wire.discovery, decision",
-        "wire, lifecycle", "wire.engine, wire.chat", "wire.engine, wire.platform",
+        "wire, lifecycle", "generation, wire",
+        "generation, decision", "generation, lifecycle", "dialect, generation", "core, generation",
+        "wire.engine, wire.chat", "wire.engine, wire.platform",
                 "wire.discovery, wire.engine"})
     void packagesPointOneWay(String from, String to) {
         noClasses().that().resideInAPackage("dunlinladder." + from + "..").should().dependOnClassesThat()
@@ -35,7 +37,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"core", "decision", "membership", "dialect"})
+    @CsvSource({"core", "decision", "membership", "dialect", "generation"})
     void whatDecidesDoesNoInputOrOutput(String part) {
         noClasses().that().resideInAPackage("dunlinladder." + part + "..").should().dependOnClassesThat()
                 .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "org.apache.hc..")
--- a/src/test/java/dunlinladder/dialect/RepliesTest.java
+++ b/src/test/java/dunlinladder/dialect/RepliesTest.java
@@ -243,8 +243,9 @@
         ReplyWriter.Identity old = new ReplyWriter.Identity("7", "shelf", 5, false, true, "once ");
         Translation text = new Translation(Format.CHAT, Format.COMPLETIONS, old, false);
         text.stream(ByteBuffer.wrap(("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"up\"},"
-                + "\"logprobs\":{\"content\":[{\"token\":\"up\",\"logprob\":-1.5,\"top_logprobs\":[{\"token\":\"on\","
-                + "\"logprob\":-2.0}]}]},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
+                + "\"logprobs\":{\"content\":[{\"token\":\"up\",\"logprob\":-1.5,"
+                + "\"top_logprobs\":[{\"token\":\"on\",\"logprob\":-2.0}]}]},"
+                + "\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
                 .getBytes(StandardCharsets.UTF_8)), t -> { });
         JsonNode choice = text.answer().path("choices").path(0);
         assertEquals("once up", choice.path("text").asText());
--- /dev/null
+++ b/src/test/java/dunlinladder/it/NewServersTest.java
@@ -0,0 +1,180 @@
+package dunlinladder.it;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dunlinladder.it.StandIn.Browser;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Old clients before the running program, whose engines speak a newer format or are on their way to it. */
+@Timeout(value = 90, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class NewServersTest {
+
+    private static final String TEXT = "Zwei B\u00fccher \ud83d\udcda, \\\"neu\\\".";
+    private static final String COMMON = """
+            {"serial":1,"settings":{"listen":"127.0.0.1:0","deadlines.listing":"5",
+            "keys.CHAT_KEY.tenant":"acme","models.find.class":"lookup","models.list.class":"listing",
+            """;
+
+    @TempDir
+    private Path folder;
+    private Running running;
+
+    private void start(String settings, Map<StandIn, String> more) throws Exception {
+        Path state = folder.resolve("applied.json");
+        Files.writeString(state, COMMON + settings + "}}");
+        running = new Running(Map.of("CHAT_KEY", "secret"), state, more);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        running.close();
+    }
+
+    private Browser post(String path, String model, boolean stream, String text) throws Exception {
+        String talk = path.equals("/v1/completions") ? "\"prompt\":\"" + text + "\""
+                : "\"max_tokens\":50,\"messages\":[{\"role\":\"user\",\"content\":\"" + text + "\"}]";
+        return new Browser(running.chatPort).send("POST", path, "Authorization: Bearer secret\r\n",
+                "{\"model\":\"" + model + "\",\"stream\":" + stream + "," + talk + "}");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"/v1/completions", "/v1/chat/completions", "/v1/messages"})
+    void oldClientsReachNewServers(String path) throws Exception {
+        start("\"generations.new.format\":\"responses\"", Map.of());
+        for (String model : List.of("find", "list")) {
+            try (Browser browser = post(path, model, false, "whole " + model)) {
+                assertTrue(browser.head());
+                String body = browser.body();
+                assertEquals(200, browser.status, body);
+                assertTrue(body.contains(TEXT), body);
+            }
+        }
+        assertTrue(running.reader.seen.stream().allMatch(s -> s.target().equals("/v1/responses")
+                || s.method().equals("DELETE")));
+        // A fault at each event of the answer: whatever the client has by then, it never gets a good end.
+        for (int kept = 0; kept < 12; kept++) {
+            try (Browser browser = post(path, "list", true, "broken after " + kept + " events")) {
+                assertTrue(browser.head());
+                String body = browser.body();
+                assertFalse(body.contains("[DONE]") || body.contains("message_stop"), kept + ": " + body);
+                assertTrue(browser.status == 502 || body.contains("error"), kept + ": " + body);
+            }
+            assertEquals(1, running.atWriters("POST", "broken after " + kept + " events"));
+        }
+        try (Browser browser = post(path, "list", true, "failing")) {
+            assertTrue(browser.head());
+            String body = browser.body();
+            assertTrue(body.contains("error") && !body.contains("inner host"), body);
+        }
+    }
+
+    /** An engine that does not know the path is left out after it has shown so, and costs no listing. */
+    @Test
+    void engineThatDoesNotSpeakItsGenerationsFormatIsLeftOut() throws Exception {
+        start("\"generations.new.format\":\"responses\"", Map.of());
+        running.writers.get(0).speaks = "/v1/chat/";
+        for (int i = 0; i < 30; i++) {
+            try (Browser browser = post("/v1/chat/completions", "find", false, "search " + i)) {
+                assertTrue(browser.head());
+                String body = browser.body();
+                assertEquals(200, browser.status, body);
+            }
+        }
+        long wasted = running.writers.get(0).count("POST", "search");
+        assertTrue(wasted <= 3, "sent " + wasted + " times to an engine that does not know the format");
+        for (int i = 0; i < 10; i++) {
+            try (Browser browser = post("/v1/chat/completions", "list", false, "offer " + i)) {
+                assertTrue(browser.head());
+                assertEquals(200, browser.status);
+                browser.body();
+            }
+        }
+        assertEquals(0, running.writers.get(0).count("POST", "offer"));
+    }
+
+    /** While the fleet moves through all stages: one outcome for each client, and no listing twice. */
+    @Test
+    void aMoveUnderLoadKeepsTheRules() throws Exception {
+        Map<StandIn, String> more = Map.of(new StandIn("reader"), "prompt", new StandIn("writer"), "answer",
+                new StandIn("writer"), "answer");
+        start("""
+                "generations.old.format":"chat","generations.new.format":"responses",
+                "generations.new.ids":"none","move.from":"old","move.to":"new","move.ramp_seconds":"0.1",
+                "move.stages.1.engines":"0.5","move.stages.1.hold_seconds":"0.3",
+                "move.stages.2.engines":"1","move.stages.2.hold_seconds":"0.3",
+                "move.stop.least":"5","move.stop.failed":"1","move.stop.delay":"1000"
+                """, more);
+        String[] paths = {"/v1/completions", "/v1/chat/completions", "/v1/messages"};
+        ExecutorService pool = Executors.newFixedThreadPool(12);
+        List<Future<Integer>> outcomes = new ArrayList<>();
+        try {
+            int sent = 0;
+            while (sent < 240 || running.lines.stream().noneMatch(line -> line.contains("state=DONE"))) {
+                String text = "n" + sent + (sent % 9 == 0 ? " reset-writer" : sent % 7 == 0 ? " busy-writer"
+                        : " .");
+                String path = paths[sent % 3];
+                String model = sent % 2 == 0 ? "list" : "find";
+                boolean stream = sent % 5 == 0;
+                outcomes.add(pool.submit(() -> {
+                    try (Browser browser = post(path, model, stream, text)) {
+                        return browser.head() && !browser.body().endsWith("(cut)") ? browser.status : 0;
+                    }
+                }));
+                if (++sent % 12 == 0) {
+                    for (Future<Integer> each : outcomes.subList(sent - 12, sent)) {
+                        each.get();
+                    }
+                }
+            }
+            for (int i = 0; i < outcomes.size(); i++) {
+                int status = outcomes.get(i).get();
+                assertTrue(List.of(200, 429, 502, 529).contains(status), "request " + i + ": " + status);
+            }
+            List<StandIn> engines = new ArrayList<>(more.keySet());
+            engines.addAll(running.writers);
+            for (int i = 0; i < sent; i += 2) {
+                String mark = "n" + i + " ";
+                long ran = engines.stream().flatMap(e -> e.seen.stream()).filter(s -> s.body().contains(mark)
+                        && !s.body().contains("busy-writer")).count();
+                // Reads of the further reader are no runs; each engine is counted for what it is.
+                long reads = more.entrySet().stream().filter(e -> e.getValue().equals("prompt"))
+                        .flatMap(e -> e.getKey().seen.stream()).filter(s -> s.body().contains(mark)
+                                && !s.body().contains("busy-writer")).count();
+                assertTrue(ran - reads <= 1, "listing " + i + " ran " + (ran - reads) + " times");
+            }
+            List<String> targets = engines.stream().flatMap(e -> e.seen.stream()).map(StandIn.Seen::target)
+                    .distinct().toList();
+            assertTrue(targets.contains("/v1/responses") && targets.contains("/v1/chat/completions"));
+            // The move is over: nothing goes out in the old format any more.
+            long old = engines.stream().flatMap(e -> e.seen.stream())
+                    .filter(s -> s.target().equals("/v1/chat/completions")).count();
+            for (int i = 0; i < 10; i++) {
+                try (Browser browser = post("/v1/chat/completions", "find", false, "after all")) {
+                    assertTrue(browser.head());
+                    browser.body();
+                }
+            }
+            assertEquals(old, engines.stream().flatMap(e -> e.seen.stream())
+                    .filter(s -> s.target().equals("/v1/chat/completions")).count());
+        } finally {
+            pool.shutdownNow();
+            assertTrue(pool.awaitTermination(30, TimeUnit.SECONDS));
+        }
+    }
+}
--- a/src/test/java/dunlinladder/it/Running.java
+++ b/src/test/java/dunlinladder/it/Running.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 
 /** The program as a process of its own, with a reader, two writers and discovery standing in round it. */
 final class Running implements AutoCloseable {
@@ -32,6 +33,8 @@
 
     final StandIn reader = new StandIn("reader");
     final List<StandIn> writers = List.of(new StandIn("writer"), new StandIn("writer"));
+    /** Further engines and their kinds. */
+    private final Map<StandIn, String> more;
     final StandIn discovery = new StandIn("discovery");
     /** What the program has logged since it listens. */
     final List<String> lines = new CopyOnWriteArrayList<>();
@@ -41,6 +44,11 @@
     final int chatPort;
 
     Running(Map<String, String> environment, Path state) throws IOException {
+        this(environment, state, Map.of());
+    }
+
+    Running(Map<String, String> environment, Path state, Map<StandIn, String> more) throws IOException {
+        this.more = more;
         config = Files.createTempFile("gateway", ".json");
         configure(discovery.address(), SETTINGS);
         ProcessBuilder builder = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin",
@@ -64,6 +72,8 @@
                 + "\"name\":\"n0\",\"seed\":\"8c1f30d27a5be964\",\"known\":{\"seq\":1,"
                 + "\"whole\":true,\"hosts\":[" + host(reader, "prompt", "active") + ","
                 + host(writers.get(0), "answer", "active") + "," + host(writers.get(1), "answer", "active")
+                + more.entrySet().stream().map(e -> "," + host(e.getKey(), e.getValue(), "active"))
+                        .collect(Collectors.joining())
                 + "]},\"settings\":" + settings + "}");
     }
 
@@ -120,5 +130,8 @@
         for (StandIn each : List.of(reader, writers.get(0), writers.get(1), discovery)) {
             each.close();
         }
+        for (StandIn each : more.keySet()) {
+            each.close();
+        }
     }
 }
--- a/src/test/java/dunlinladder/it/StandIn.java
+++ b/src/test/java/dunlinladder/it/StandIn.java
@@ -29,9 +29,13 @@
     /** How many exchanges found their gateway's side closed. */
     final List<String> abandoned = new CopyOnWriteArrayList<>();
     volatile boolean firstSeen;
+    /** What the paths that it knows begin with. */
+    volatile String speaks = "/v1/";
     private final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     private final String role;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private static final String STREAM = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n";
     private final List<String> news = new CopyOnWriteArrayList<>();
 
     StandIn(String role) throws IOException {
@@ -101,6 +105,8 @@
                     watch(out, Long.parseLong(words[1].replaceAll(".*since=", "")));
                 } else if (words[0].equals("DELETE")) {
                     send(out, "HTTP/1.1 204 No Content\r\n\r\n");
+                } else if (!words[1].startsWith(speaks)) {
+                    send(out, "HTTP/1.1 404 Unknown\r\nContent-Length: 2\r\n\r\n{}");
                 } else if (body.contains("hang-" + role)) {
                     awaitClose(in, body);
                     return;
@@ -122,7 +128,10 @@
                     return;
                 } else if (role.equals("reader")) {
                     send(out, "HTTP/1.1 202 Read\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":4}");
-                } else if (!stream(in, out, body)) {
+                } else if (body.contains("[reply ")) {
+                    replay(out, body.replaceAll("(?s).*\\[reply ([a-z-]+)].*", "$1"));
+                } else if (words[1].startsWith("/v1/responses")
+                        ? !typedEvents(out, body) : !stream(in, out, body)) {
                     return;
                 }
             }
@@ -170,6 +179,47 @@
         return true;
     }
 
+    /** Streams a recorded answer as it stands. */
+    private static void replay(OutputStream out, String name) throws IOException {
+        try (InputStream file = StandIn.class.getResourceAsStream("/conformance/" + name + ".sse")) {
+            send(out, STREAM);
+            for (String event : new String(file.readAllBytes(), StandardCharsets.UTF_8).split("(?<=\n\n)")) {
+                chunk(out, event);
+            }
+            send(out, "0\r\n\r\n");
+        }
+    }
+
+    /**
+     * Streams a recorded answer in the format of items and typed events; {@code broken after N} in the
+     * request ends it there, {@code failing} has it fail in its midst. False when the connection is to be
+     * closed.
+     */
+    private static boolean typedEvents(OutputStream out, String body) throws IOException {
+        String recorded;
+        try (InputStream file = StandIn.class.getResourceAsStream("/dialect/text-responses.sse")) {
+            recorded = new String(file.readAllBytes(), StandardCharsets.UTF_8);
+        }
+        send(out, STREAM);
+        String[] events = recorded.split("(?<=\n\n)");
+        int broken = body.matches("(?s).*broken after \\d+.*")
+                ? Integer.parseInt(body.replaceAll("(?s).*broken after (\\d+).*", "$1")) : events.length;
+        for (int i = 0; i < broken; i++) {
+            if (body.contains("failing") && i == 5) {
+                chunk(out, "event: response.failed\ndata: {\"type\":\"response.failed\",\"response\":"
+                        + "{\"status\":\"failed\",\"error\":{\"code\":\"server_error\",\"message\":"
+                        + "\"inner host\"}}}\n\n");
+                break;
+            }
+            chunk(out, events[i]);
+        }
+        if (broken < events.length) {
+            return false;
+        }
+        send(out, "0\r\n\r\n");
+        return true;
+    }
+
     /** A gateway gives an attempt up by a close or a reset. */
     private void awaitClose(InputStream in, String body) {
         try {
@@ -201,7 +251,7 @@
     }
 
     private static void chunk(OutputStream out, String text) throws IOException {
-        send(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        send(out, Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n");
     }
 
     private static void send(OutputStream out, String text) throws IOException {
--- a/src/test/java/dunlinladder/wire/chat/ChatRequestTest.java
+++ b/src/test/java/dunlinladder/wire/chat/ChatRequestTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import dunlinladder.dialect.Format;
 import dunlinladder.dialect.Requests;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -17,8 +16,8 @@
 class ChatRequestTest {
 
     private static final ChatSettings SETTINGS = new ChatSettings(Map.of(),
-            Map.of("m", new ChatSettings.Model(1, 800)), List.of(), List.of(), Format.CHAT,
-            Requests.Unknown.PASS);
+            Map.of("m", new ChatSettings.Model(1, 800)), List.of(), List.of(), List.of(),
+            null, Requests.Unknown.PASS);
     private static final String SYSTEM = "{'role':'system','content':'12345678'}";
     private static final String USER = "{'role':'user','content':'abcde'}";
     private static final String LATER = ",{'role':'assistant','content':'yes'},{'role':'user','content':'"
