--- a/src/main/java/dunlinladder/core/Client.java
+++ b/src/main/java/dunlinladder/core/Client.java
@@ -28,5 +28,5 @@
     void fail(Failure why);
 
     /** What a failure was about. */
-    enum Failure { ENGINE, TIMEOUT, INTERNAL }
+    enum Failure { ENGINE, TIMEOUT, INTERNAL, REQUEST }
 }
--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -212,10 +212,13 @@
         LOG.debug("event=attempt request={} attempt={} engine={} outcome={}", request.id(), attempt.number(),
                 engine.id(), outcome);
         boolean ok = outcome.ending() == Outcome.Ending.OK;
-        boolean last = ok || begun[0] || entry.gone();
+        boolean rejected = outcome.ending() == Outcome.Ending.REJECTED;
+        boolean last = ok || begun[0] || rejected || entry.gone();
         decider.ended(attempt, outcome, last);
         if (last && !entry.gone()) {
-            if (ok) {
+            if (rejected) {
+                entry.client.fail(Client.Failure.REQUEST);
+            } else if (ok) {
                 entry.client.end();
             } else {
                 entry.client.cut();
--- a/src/main/java/dunlinladder/core/Outcome.java
+++ b/src/main/java/dunlinladder/core/Outcome.java
@@ -12,7 +12,9 @@
 
     /** The ways in which an attempt ends. */
     public enum Ending {
-        OK, READ, FULL, CONNECT_FAILED, ERROR, RESET, TIMEOUT, CANCELLED;
+        OK, READ, FULL, CONNECT_FAILED, ERROR, RESET, TIMEOUT, CANCELLED,
+        /** The engine understood the request and finds it at fault itself: any other would say the same. */
+        REJECTED;
 
         /** Whether the attempt certainly had no effect. */
         public boolean neverRan() {
--- a/src/main/java/dunlinladder/decision/Decisions.java
+++ b/src/main/java/dunlinladder/decision/Decisions.java
@@ -161,6 +161,10 @@
     }
 
     private static Router.Status status(Outcome.Ending ending) {
+        if (ending == Outcome.Ending.REJECTED) {
+            // One client's bad request is no evidence against the engine that says so.
+            return Router.Status.CANCELLED;
+        }
         return Router.Status.valueOf(ending.name());
     }
 
--- a/src/main/java/dunlinladder/demo/Demo.java
+++ b/src/main/java/dunlinladder/demo/Demo.java
@@ -3,6 +3,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import dunlinladder.dialect.Format;
+import dunlinladder.lifecycle.Sample;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -32,17 +33,6 @@
 public final class Demo {
 
     private static final String KEY = "demo";
-    private static final String SETTINGS = """
-            {"balancers":1,"caps":{"connect-timeout":0.25,"keepalive":30.0,"max-attempts":4},"classes":[
-            {"name":"lookup","deadline":4.0,"objective":0.8,"semantics":"safe","stream":true,"worth":1.0},
-            {"name":"listing","deadline":10.0,"objective":2.0,"semantics":"unsafe","stream":true,
-            "worth":3.0}],"family-info":{"aim-us-per-1000-prompt-tokens":[60000.0,40000.0],
-            "kv-tokens":[180000,150000,240000],
-            "release-within":0.5,"role-by-kind":["read","write","both"],"token-aim":[0.05,0.07]},
-            "kinds":["prompt","answer","mixed"],"membership-mode":"pushed","zone":0,"zones":["cambridge-a"],
-            "projects":[{"name":"salamanca-pages","fraction":1.0,"quota-per-s":1000.0}],
-            "rules":{"answer-slack":0.008,"cold":14.0,"cold-from":0.26,"fall-multiple":4.0,
-            "stop-sending-within":1.0,"tip-after":1.5}}""";
     private static final String STATE = """
             {"serial":1,"settings":{"listen":"127.0.0.1:0","keys.DEMO_KEY.tenant":"salamanca-pages",
             "models.shelf-lookup.class":"lookup","models.shelf-listing.class":"listing",
@@ -117,7 +107,8 @@
     private static Process gateway(Path folder, HttpServer discovery) throws IOException {
         String at = "127.0.0.1:" + discovery.getAddress().getPort();
         Path config = Files.writeString(folder.resolve("config.json"), "{\"name\":\"demo\",\"seed\":\"1\","
-                + "\"discovery\":\"" + at + "\",\"listen\":\"127.0.0.1:0\",\"settings\":" + SETTINGS + "}");
+                + "\"discovery\":\"" + at + "\",\"listen\":\"127.0.0.1:0\",\"settings\":" + Sample.SETTINGS
+                        + "}");
         Path state = Files.writeString(folder.resolve("applied.json"), STATE);
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
                 .toString(), "-Xmx64m", "-cp", System.getProperty("java.class.path"),
--- a/src/main/java/dunlinladder/demo/Engine.java
+++ b/src/main/java/dunlinladder/demo/Engine.java
@@ -6,6 +6,7 @@
 import dunlinladder.dialect.Part;
 import dunlinladder.dialect.ReplyEvent;
 import dunlinladder.dialect.ReplyWriter;
+import dunlinladder.lifecycle.Sample;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -41,9 +42,7 @@
 
     /** Its entry in discovery's list. */
     String listed() {
-        return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:" + server.getAddress().getPort()
-                + "\",\"site\":\"cambridge-a\",\"class\":\"" + (reads ? "prompt" : "answer")
-                + "\",\"block\":1,\"health\":\"active\",\"share\":1.0,\"born_ms\":0}";
+        return Sample.host(name, "127.0.0.1:" + server.getAddress().getPort(), reads ? "prompt" : "answer");
     }
 
     private void serve(HttpExchange exchange) throws IOException {
--- a/src/main/java/dunlinladder/dialect/Faults.java
+++ b/src/main/java/dunlinladder/dialect/Faults.java
@@ -143,6 +143,16 @@
                 row.mine ? error.path("param").asText(null) : null);
     }
 
+    /**
+     * The fault that an engine's answer finds in the request itself; null where it finds none. A limit, a
+     * missing model or a failure is none.
+     */
+    public static Fault rejection(int status, String body) {
+        JsonNode node = Pieces.lenient(body);
+        boolean client = status >= 400 && status < 500;
+        return client && ofTheRequest(status, node) ? read(status, node) : null;
+    }
+
     /** Whether the request itself is at fault, so that no other engine would take it. */
     public static boolean ofTheRequest(int status, JsonNode body) {
         return row(status, error(body)).mine;
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -7,6 +7,7 @@
 import dunlinladder.core.Limits;
 import dunlinladder.decision.Decisions;
 import dunlinladder.decision.Router;
+import dunlinladder.generation.Generation;
 import dunlinladder.generation.Routing;
 import dunlinladder.membership.News;
 import dunlinladder.wire.Server;
@@ -140,6 +141,8 @@
         int port = server.listen(config.listen());
         LOG.info("{} listens on {} port {}", config.name(), config.listen(), port);
         if (chat != null) {
+            ChatExchange.warm(operator.settings().engines().stream().map(Generation::format).distinct()
+                    .toList());
             LOG.info("{} speaks chat on {} port {}", config.name(), operator.listen(),
                     chat.listen(operator.listen()));
         }
--- a/src/main/java/dunlinladder/lifecycle/Warm.java
+++ b/src/main/java/dunlinladder/lifecycle/Warm.java
@@ -21,17 +21,6 @@
 public final class Warm {
 
     private static final int ROUNDS = 40;
-    private static final String SETTINGS = """
-            {"balancers":1,"caps":{"connect-timeout":5,"keepalive":30.0,"max-attempts":4},"classes":[
-            {"name":"lookup","deadline":4.0,"objective":0.8,"semantics":"safe","stream":true,"worth":1.0},
-            {"name":"listing","deadline":10.0,"objective":2.0,"semantics":"unsafe","stream":true,
-            "worth":3.0}],"family-info":{"aim-us-per-1000-prompt-tokens":[60000.0,40000.0],
-            "kv-tokens":[180000,150000,240000],
-            "release-within":0.5,"role-by-kind":["read","write","both"],"token-aim":[0.05,0.07]},
-            "kinds":["prompt","answer","mixed"],"membership-mode":"pushed","zone":0,"zones":["a"],
-            "projects":[{"name":"acme","fraction":1.0,"quota-per-s":1000.0}],
-            "rules":{"answer-slack":0.008,"cold":14.0,"cold-from":0.26,"fall-multiple":4.0,
-            "stop-sending-within":1.0,"tip-after":1.5}}""";
 
     private static final String ANSWER = """
             data: {"choices":[{"index":0,"delta":{"content":"a"},"finish_reason":"stop"}]}
@@ -52,15 +41,16 @@
         HttpServer reader = server("{\"cached_tokens\":4}", 202);
         HttpServer writer = server(ANSWER, 200);
         String at = "127.0.0.1:" + reader.getAddress().getPort();
-        String list = "{\"seq\":1,\"whole\":true,\"hosts\":[" + host("reader", at, "prompt") + ","
-                + host("writer", "127.0.0.1:" + writer.getAddress().getPort(), "answer") + "]}\n";
+        String list = "{\"seq\":1,\"whole\":true,\"hosts\":[" + Sample.host("reader", at, "prompt") + ","
+                + Sample.host("writer", "127.0.0.1:" + writer.getAddress().getPort(), "answer") + "]}\n";
         reader.createContext("/discovery/hosts", exchange -> {
             exchange.sendResponseHeaders(200, 0);
             exchange.getResponseBody().write(list.getBytes(StandardCharsets.UTF_8));
             exchange.getResponseBody().flush();
         });
         Gateway gateway = new Gateway(Config.read(Json.parse("{\"name\":\"warm\",\"listen\":\"127.0.0.1:0\","
-                + "\"discovery\":\"" + at + "\",\"settings\":" + SETTINGS.replace("\n", "") + ",\"known\":"
+                + "\"discovery\":\"" + at + "\",\"settings\":" + Sample.SETTINGS.replace("\n", "")
+                        + ",\"known\":"
                 + list.trim() + "}"), Map.of()), null);
         int port = gateway.start();
         int served = 0;
@@ -85,18 +75,13 @@
         return server;
     }
 
-    private static String host(String name, String at, String kind) {
-        return "{\"host\":\"" + name + "\",\"dial\":\"" + at + "\",\"site\":\"a\",\"class\":\"" + kind
-                + "\",\"block\":1,\"health\":\"active\",\"share\":1.0,\"born_ms\":0}";
-    }
-
     private static boolean ask(int port, int round) throws IOException {
         HttpURLConnection connection = (HttpURLConnection) new URL("http://127.0.0.1:" + port
                 + "/v1/chat/completions").openConnection();
         connection.setRequestMethod("POST");
         connection.setDoOutput(true);
         Map.of("X-Request-ID", "warm-" + round, "X-Priority-Class", round % 2 == 0 ? "lookup" : "listing",
-                "X-Tenant-Id", "acme", "X-Route-Key", "k" + round % 5, "X-Timeout", "4.0", "X-Attrs",
+                "X-Tenant-Id", Sample.TENANT, "X-Route-Key", "k" + round % 5, "X-Timeout", "4.0", "X-Attrs",
                 "prefix=5c0f,prompt_len=120,prefix_len=20,max_out=80")
                         .forEach(connection::setRequestProperty);
         try (OutputStream body = connection.getOutputStream()) {
--- a/src/main/java/dunlinladder/wire/chat/ChatExchange.java
+++ b/src/main/java/dunlinladder/wire/chat/ChatExchange.java
@@ -13,7 +13,9 @@
 import dunlinladder.dialect.Fault;
 import dunlinladder.dialect.Faults;
 import dunlinladder.dialect.Format;
+import dunlinladder.dialect.Part;
 import dunlinladder.dialect.Pieces;
+import dunlinladder.dialect.ReplyEvent;
 import dunlinladder.dialect.ReplyWriter;
 import dunlinladder.dialect.Requests;
 import dunlinladder.dialect.Setting;
@@ -70,6 +72,7 @@
     private byte[] forward;
     /** Of the attempt that is out; null where its engine speaks the client's own format. */
     private volatile Translation translation;
+    private volatile Fault rejection;
     private final List<String> warnings = new ArrayList<>();
     private String id;
     private boolean open;
@@ -84,6 +87,41 @@
         this.shared = shared;
     }
 
+    /**
+     * Translates a little in each direction, so that the first clients do not wait, and their attempts run
+     * out of time, while classes are loaded.
+     */
+    public static void warm(Collection<Format> engines) {
+        ReplyWriter.Identity identity = new ReplyWriter.Identity("0", "warm", 0, true, false, null);
+        List<ReplyEvent> answer = List.of(new ReplyEvent.Begin("0", "warm", 0),
+                new ReplyEvent.Open(0, 0, Part.Kind.TEXT, null, null), new ReplyEvent.Grow(0, 0, "a", null),
+                new ReplyEvent.Close(0, 0), new ReplyEvent.Finish(0, ReplyEvent.Reason.STOP, null),
+                new ReplyEvent.Usage(1, 0, 1, 0), new ReplyEvent.End());
+        for (Format from : engines) {
+            ReplyWriter writer = ReplyWriter.of(from, identity);
+            StringBuilder events = new StringBuilder();
+            answer.forEach(event -> events.append(writer.stream(event)));
+            byte[] stream = events.toString().getBytes(StandardCharsets.UTF_8);
+            for (Format to : Format.values()) {
+                String talk = to == Format.COMPLETIONS ? "\"prompt\":\"a\"" : to == Format.RESPONSES
+                        ? "\"input\":\"a\"" : "\"max_tokens\":1,\"messages\":[{\"role\":\"user\","
+                        + "\"content\":\"a\"}]";
+                Requests.write(from, Requests.read(to, Pieces.body(("{\"model\":\"warm\"," + talk + "}")
+                        .getBytes(
+                        StandardCharsets.UTF_8)), Requests.Unknown.PASS, new ArrayList<>()), 1,
+                        new ArrayList<>());
+                for (boolean streamed : new boolean[] {true, false}) {
+                    Translation translation = new Translation(from, to, identity, streamed);
+                    translation.stream(ByteBuffer.wrap(stream), text -> { });
+                    translation.end(text -> { });
+                    if (!streamed) {
+                        translation.answer();
+                    }
+                }
+            }
+        }
+    }
+
     @Override
     protected void received(HttpRequest head, byte[] content) {
         double now = shared.clock.now();
@@ -223,12 +261,19 @@
             shared.routing.knowsNot(engine, now);
             return;
         }
-        boolean ok = outcome.ending() == Outcome.Ending.OK || outcome.ending() == Outcome.Ending.READ;
+        boolean ok = outcome.ending() == Outcome.Ending.OK || outcome.ending() == Outcome.Ending.READ
+                || outcome.ending() == Outcome.Ending.REJECTED;
         shared.routing.ended(engine, ok || !Double.isNaN(firstSeconds), !ok
                 && outcome.ending() != Outcome.Ending.CANCELLED && outcome.ending() != Outcome.Ending.FULL,
                 firstSeconds, now);
     }
 
+    @Override
+    public boolean rejects(int status, String body) {
+        rejection = Faults.rejection(status, body);
+        return rejection != null;
+    }
+
     /** Headers of an answer: what was left out of the request is told, not passed over. */
     private Map<String, String> headers(Map<String, String> others) {
         if (warnings.isEmpty()) {
@@ -441,10 +486,15 @@
 
     @Override
     public void fail(Failure why) {
+        if (why == Failure.REQUEST) {
+            answer(Faults.status(format, rejection.kind()), JSON, Faults.write(format, rejection).toString(),
+                    headers(Map.of()));
+            return;
+        }
         fail(switch (why) {
             case TIMEOUT -> new ChatError(504, "no answer in time", null, "timeout");
             case ENGINE -> new ChatError(502, "the model server failed", null, "upstream_error");
-            case INTERNAL -> new ChatError(500, "the gateway failed", null, "internal_error");
+            case INTERNAL, REQUEST -> new ChatError(500, "the gateway failed", null, "internal_error");
         });
     }
 
--- a/src/main/java/dunlinladder/wire/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/wire/engine/EngineCall.java
@@ -310,7 +310,8 @@
             case 202 -> settle(new Outcome(Ending.READ, Reports.keptInRead(text), report));
             case 410 -> settle(new Outcome(Ending.FULL, 1, report));
             case 503, 504 -> settle(new Outcome(notRun ? Ending.FULL : Ending.ERROR, 0, report));
-            default -> settle(new Outcome(Ending.ERROR, 0, report));
+            default -> settle(new Outcome(outgoing.rejects(status, text) ? Ending.REJECTED : Ending.ERROR, 0,
+                    report));
         }
         finish(true);
     }
--- a/src/main/java/dunlinladder/wire/engine/Outgoing.java
+++ b/src/main/java/dunlinladder/wire/engine/Outgoing.java
@@ -10,6 +10,15 @@
     /** The message for an engine; called once for each attempt, before it starts. */
     Forward to(Engine engine);
 
+    /**
+     * Whether an engine's error says that the request itself is at fault, so that the request has failed.
+     *
+     * @param body as much of the answer as is kept
+     */
+    default boolean rejects(int status, String body) {
+        return false;
+    }
+
     /**
      * An attempt ended.
      *
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -186,6 +186,16 @@
         assertEquals(List.of("fail"), answers);
     }
 
+    @Test
+    void whatAnEngineRejectsIsFinal() {
+        list(Engine.State.ACTIVE, "m1");
+        steps.add(new Step.Send("m1", 0));
+        endings.add(Ending.REJECTED);
+        take(LOOKUP);
+        assertEquals(List.of("fail"), answers);
+        assertEquals(List.of("m1"), sent);
+    }
+
     @Test
     void aLookupMayBeSentAgain() {
         list(Engine.State.ACTIVE, "m1", "w1");
--- a/src/test/java/dunlinladder/it/DialectTest.java
+++ b/src/test/java/dunlinladder/it/DialectTest.java
@@ -136,6 +136,27 @@
         assertTrue(model.equals("find") || running.atWriters("POST", mark) <= 1);
     }
 
+    /** What an engine finds at fault in the request itself is told at once, and costs no engine its name. */
+    @ParameterizedTest
+    @CsvSource({"/v1/responses, find", "/v1/messages, list", "/v1/chat/completions, find",
+        "/v1/completions, list"})
+    void whatAnEngineRejectsIsToldAtOnce(String path, String model) throws Exception {
+        for (int i = 0; i < 5; i++) {
+            String mark = "reject-writer " + path + i;
+            try (Browser browser = post(path, body(path, model, false, mark, ""))) {
+                assertTrue(browser.head());
+                String answer = browser.body();
+                assertEquals(400, browser.status, answer);
+                assertEquals("too long", JSON.readTree(answer).at("/error/message").asText(), answer);
+            }
+            assertEquals(1, running.atWriters("POST", mark));
+        }
+        try (Browser browser = post(path, body(path, model, false, "plain after", ""))) {
+            assertTrue(browser.head());
+            assertEquals(200, browser.status, browser.body());
+        }
+    }
+
     /** A stream that breaks after its first event ends with the client's own failure, never with an end. */
     @ParameterizedTest
     @CsvSource({"/v1/responses, response.failed", "/v1/messages, error", "/v1/completions, ''"})
--- a/src/test/java/dunlinladder/it/StandIn.java
+++ b/src/test/java/dunlinladder/it/StandIn.java
@@ -116,6 +116,10 @@
                     send(out, "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n");
                 } else if (body.contains("error-" + role)) {
                     send(out, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+                } else if (body.contains("reject-" + role)) {
+                    String error = "{\"error\":{\"type\":\"invalid_request_error\",\"message\":\"too long\","
+                            + "\"param\":\"input\"}}";
+                    send(out, "HTTP/1.1 400 Bad\r\nContent-Length: " + error.length() + "\r\n\r\n" + error);
                 } else if (body.contains("noise-" + role)) {
                     send(out, "\u0001\u0002 noise\r\n\r\n");
                     awaitClose(in, body);
