--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,8 +1,26 @@
 #!/bin/sh
 # Starts one gateway in a JVM that fits the memory of its configuration (limits.memory_mb there). The heap has
 # its full size from the start and is touched then, so that the memory in use does not creep up by itself.
-memory=$(tr -d ' \n\r\t' < "${RELAY_CONFIG:?names the configuration file}" \
-    | sed -n 's/.*"memory_mb":\([0-9]\{1,6\}\).*/\1/p')
+# The shell's built-ins alone: where the gateway runs, no other program may be started beside it.
+text=
+while IFS= read -r line || [ -n "$line" ]; do
+    text=$text$line
+done < "${RELAY_CONFIG:?names the configuration file}"
+# What stands between quotes, one piece after the other; the figure follows its key.
+memory=
+key=
+set -f
+IFS='"'
+for piece in $text; do
+    if [ "$key" = memory_mb ]; then
+        piece=${piece#"${piece%%[0-9]*}"}
+        memory=${piece%%[!0-9]*}
+        break
+    fi
+    key=$piece
+done
+unset IFS
+set +f
 heap=$((${memory:-160} * 3 / 10))
 [ "$heap" -ge 16 ] || heap=16
 [ "$heap" -le 256 ] || heap=256
--- a/src/test/java/dunlinladder/lifecycle/RunScriptTest.java
+++ b/src/test/java/dunlinladder/lifecycle/RunScriptTest.java
@@ -3,9 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.HttpURLConnection;
+import java.net.URL;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -13,6 +20,8 @@
 /** The JVM that the start script asks for follows the configuration. */
 class RunScriptTest {
 
+    private static final Pattern LISTENS = Pattern.compile("listens on .* port ([0-9]+)");
+
     @TempDir
     private Path folder;
 
@@ -20,18 +29,51 @@
     @CsvSource({"'{\"limits\":{\"memory_mb\":160}}', 48",
         "'{\"limits\": {\"cores\": 1.0,\n \"memory_mb\" : 192}}', 57",
         "'{\"limits\":{\"memory_mb\":32}}', 16",
+        "'{\"known\":{\"hosts\":[{\"host\":\"*\"}]},\"limits\":{\"sockets\":512,\"memory_mb\":\t96 }}', 28",
         "'{}', 48", "'{\"limits\":{\"memory_mb\":4096}}', 256"})
     void heapFollowsMemory(String configuration, int heap) throws Exception {
         Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
         assertTrue(java.toFile().setExecutable(true));
         Path config = Files.writeString(folder.resolve("config.json"), configuration);
-        ProcessBuilder builder = new ProcessBuilder("sh", "deploy/run.sh").redirectErrorStream(true);
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "deploy/run.sh").redirectErrorStream(true);
         builder.environment().put("RELAY_CONFIG", config.toString());
-        builder.environment().put("PATH", folder + ":" + builder.environment().get("PATH"));
+        builder.environment().put("PATH", folder.toString());
         Process process = builder.start();
         String line = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(0, process.waitFor(), line);
         assertTrue(line.contains("-Xms" + heap + "m -Xmx" + heap + "m "), line);
         assertTrue(line.endsWith("-jar target/dunlinladder.jar serve\n"), line);
     }
+
+    /** The platform refuses to fork: with no other program than the shell and Java a gateway still answers. */
+    @Test
+    void startsWithNoOtherProgram() throws Exception {
+        Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\n"
+                + "while [ \"$1\" != -jar ]; do\n    options=\"$options $1\"\n    shift\ndone\nshift 2\nexec "
+                + System.getProperty("java.home") + "/bin/java $options -cp "
+                + System.getProperty("java.class.path")
+                + " dunlinladder.lifecycle.Main \"$@\"\n");
+        assertTrue(java.toFile().setExecutable(true));
+        Path config = Files.writeString(folder.resolve("config.json"), "{\"name\":\"n\",\"listen\":"
+                + "\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"limits\":{\"memory_mb\":160},"
+                + "\"settings\":" + Sample.SETTINGS + "}");
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "deploy/run.sh").redirectErrorStream(true);
+        builder.environment().put("RELAY_CONFIG", config.toString());
+        builder.environment().put("PATH", folder.toString());
+        Process process = builder.start();
+        try (BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream(),
+                StandardCharsets.UTF_8))) {
+            StringBuilder said = new StringBuilder();
+            Matcher port = LISTENS.matcher("");
+            for (String line = log.readLine(); line != null && !port.find(); line = log.readLine()) {
+                said.append(line).append('\n');
+                port.reset(line);
+            }
+            assertTrue(port.reset(said).find(), said.toString());
+            URL up = new URL("http://127.0.0.1:" + port.group(1) + "/up");
+            assertEquals(200, ((HttpURLConnection) up.openConnection()).getResponseCode());
+        } finally {
+            process.destroyForcibly().waitFor();
+        }
+    }
 }
