--- a/src/test/java/dunlinladder/lifecycle/RunScriptTest.java
+++ b/src/test/java/dunlinladder/lifecycle/RunScriptTest.java
@@ -45,7 +45,7 @@
         assertTrue(line.endsWith("-jar target/dunlinladder.jar serve\n"), line);
     }
 
-    /** The platform refuses to fork: with no other program than the shell and Java a gateway still answers. */
+    /** The platform refuses to fork: with nothing but the shell and Java a gateway still answers. */
     @Test
     void startsWithNoOtherProgram() throws Exception {
         Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\n"
