Call discovery once at a time, with capped exponential backoff and full jitter

What a gateway does harmlessly alone keeps an overbooked discovery overbooked for good.

Ruled out: hung connects (each connect came up at once; the first calls waited 2.4 s and were reset by the other side, the later ones were turned away at once).

At fault: Following.openAt raced a call that was connected and waiting its turn after 0.3 s, Following.ended asked again after a fixed 0.2 s, at once after a link that had spoken.

Change: Event.Connected; a connected call is not raced and is left 3 s; pauses come from a range that doubles with each call in a row without an answer, 0.2 to 4 s, drawn from the configuration's seed; silence is noticed at a time that differs by gateway.

--- a/src/main/java/dunlinladder/lifecycle/Config.java
+++ b/src/main/java/dunlinladder/lifecycle/Config.java
@@ -79,7 +79,7 @@
                         ? settings.children("projects").stream().map(p -> p.text("name")).toList()
                         : List.of(),
                 settings.texts("zones"), settings.texts("kinds"), limits,
-                new Timing(0.3, 2, 2.5, 0.2, 10, 3));
+                new Timing(0.3, 2, 3, 2.5, 0.2, 4, 10, 3));
     }
 
     private static long seed(Json file) {
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -80,7 +80,8 @@
         chat = operator == null ? null : new Server(clients, limits, () -> new ChatExchange(chats));
         hosts = new HostReader(config.zones(), config.kinds());
         known = known(config);
-        watch = new Watch(hosts, config.list(), clock, known == null ? 0 : known.version(), this::learn);
+        watch = new Watch(hosts, config.list(), clock, known == null ? 0 : known.version(),
+                config.seed(), this::learn);
         gate.watch(watch::unread);
         servers = chat == null ? List.of(server) : List.of(server, chat);
         timer.scheduleWithFixedDelay(() -> servers.forEach(Server::sweep), 100, 100, TimeUnit.MILLISECONDS);
--- a/src/main/java/dunlinladder/membership/Following.java
+++ b/src/main/java/dunlinladder/membership/Following.java
@@ -13,7 +13,11 @@
  * <ul>
  * <li>A move to another address while news is on its way: the old link is listened to until the new one has
  *     been heard.
- * <li>An address that hangs: a second link is tried beside the first, the first to answer stays.
+ * <li>An address that hangs: a second link is tried beside one whose connection does not come up, the first
+ *     to answer stays. One that is connected waits for its turn: a second call would lengthen the queue.
+ * <li>Discovery that is overbooked, and all gateways that start at once and ask again in step: there is one
+ *     call at a time, and pauses are drawn from a range that doubles with each call in a row that was not
+ *     answered (capped exponential backoff with full jitter).
  * <li>News of two links that overtakes itself: what is not newer than what was taken in is left aside, as
  * each entry says an engine's whole state and an older one would undo a drain.
  * <li>News that could not be read or taken in: the version does not move past it, and the whole list is asked
@@ -28,33 +32,50 @@
  * @param links   the links that are open, oldest first
  * @param nextId  the number of the next link
  * @param retryAt clock time before which no link replaces one that ended
+ * @param failed  links in a row that ended without an answer
+ * @param random  state of the random numbers
  */
 public record Following(Timing timing, String address, long version, boolean whole, List<Link> links,
-        int nextId, double retryAt) {
+        int nextId, double retryAt, int failed, long random) {
+
+    /** Doublings after which the pause is at its bound whatever the figures are. */
+    private static final int DOUBLINGS_MOST = 20;
 
     /**
      * One connection to discovery.
      *
      * @param asked    the version that it asked to go on from; 0 for the whole list
+     * @param up       whether its connection is up
      * @param answered whether its answer has begun
      * @param at       clock time of its opening, and of the last thing heard once it has answered
+     * @param patience seconds of silence, once it has answered, after which another link is tried
      * @param spoken   whether a line or a beat has come
      * @param behindAt clock time since which its lists are older than what is held, NaN where they are not
      */
-    public record Link(int id, String address, long asked, boolean answered, double at, boolean spoken,
-            double behindAt) {
+    public record Link(int id, String address, long asked, boolean up, boolean answered, double at,
+            double patience, boolean spoken, double behindAt) {
+
+        private Link connected() {
+            return new Link(id, address, asked, true, answered, at, patience, spoken, behindAt);
+        }
 
         private Link heard(double now, boolean line) {
-            return new Link(id, address, asked, true, now, spoken || line, behindAt);
+            return new Link(id, address, asked, true, true, now, patience, spoken || line, behindAt);
         }
 
         private Link behind(double now) {
-            return new Link(id, address, asked, answered, at, spoken, Double.isNaN(behindAt) ? now
-                    : behindAt);
+            return new Link(id, address, asked, up, answered, at, patience, spoken,
+                    Double.isNaN(behindAt) ? now : behindAt);
         }
 
         private Link level() {
-            return new Link(id, address, asked, answered, at, spoken, Double.NaN);
+            return new Link(id, address, asked, up, answered, at, patience, spoken, Double.NaN);
+        }
+
+        /** Clock time at which it is given up unless it has answered. */
+        private double until(Timing timing) {
+            return answered ? Double.POSITIVE_INFINITY
+                    : at + (up ? timing.answerSeconds() : timing.openSeconds());
         }
     }
 
@@ -64,6 +85,9 @@
         /** Discovery is at this address from now on; also the first event. */
         record Move(String address) implements Event { }
 
+        /** A link's connection is up and its call is sent. */
+        record Connected(int link) implements Event { }
+
         /** A link's answer has begun. */
         record Answered(int link) implements Event { }
 
@@ -108,8 +132,8 @@
     }
 
     /** The state before the first event, holding the list of {@code version}; 0 for none. */
-    public static Following from(Timing timing, long version) {
-        return new Following(timing, null, version, false, List.of(), 0, 0);
+    public static Following from(Timing timing, long version, long seed) {
+        return new Following(timing, null, version, false, List.of(), 0, 0, 0, seed);
     }
 
     /** The state after {@code event} at clock time {@code now}, in seconds. */
@@ -117,6 +141,8 @@
         Step step = new Step(this, now);
         if (event instanceof Event.Move move) {
             step.move(move.address);
+        } else if (event instanceof Event.Connected connected) {
+            step.connected(connected.link);
         } else if (event instanceof Event.Answered answered) {
             step.heard(answered.link, false);
         } else if (event instanceof Event.Beat beat) {
@@ -138,9 +164,7 @@
     public double wake() {
         double wake = address == null ? Double.POSITIVE_INFINITY : openAt(links, address, timing, retryAt);
         for (Link link : links) {
-            if (!link.answered) {
-                wake = Math.min(wake, link.at + timing.openSeconds());
-            }
+            wake = Math.min(wake, link.until(timing));
             if (!Double.isNaN(link.behindAt)) {
                 wake = Math.min(wake, link.behindAt + timing.epochSeconds());
             }
@@ -149,8 +173,8 @@
     }
 
     /**
-     * When another link to the current address is wanted: after a pause where there is none, beside one that
-     * does not answer in time, and beside one that has fallen silent.
+     * When another link to the current address is wanted: after a pause where there is none, beside one whose
+     * connection does not come up, and beside one that has fallen silent.
      */
     private static double openAt(List<Link> links, String address, Timing timing, double retryAt) {
         double heard = Double.NEGATIVE_INFINITY;
@@ -159,12 +183,13 @@
         for (Link link : links) {
             if (link.address.equals(address)) {
                 count++;
-                heard = link.answered ? Math.max(heard, link.at) : heard;
-                opened = link.answered ? opened : Math.max(opened, link.at);
+                heard = link.answered ? Math.max(heard, link.at + link.patience) : heard;
+                opened = link.answered ? opened : link.up ? Double.POSITIVE_INFINITY
+                        : Math.max(opened, link.at + timing.raceSeconds());
             }
         }
         return count >= timing.links() ? Double.POSITIVE_INFINITY
-                : Math.max(retryAt, Math.max(heard + timing.silenceSeconds(), opened + timing.raceSeconds()));
+                : Math.max(retryAt, Math.max(heard, opened));
     }
 
     /** One event's work on a copy of the state. */
@@ -178,6 +203,8 @@
         private boolean whole;
         private int nextId;
         private double retryAt;
+        private int failed;
+        private long random;
 
         Step(Following from, double now) {
             this.timing = from.timing;
@@ -188,10 +215,25 @@
             this.whole = from.whole;
             this.nextId = from.nextId;
             this.retryAt = from.retryAt;
+            this.failed = from.failed;
+            this.random = from.random;
+        }
+
+        /** Drawn evenly from 0 to 1. */
+        private double draw() {
+            random = random * 6364136223846793005L + 1442695040888963407L;
+            return (random >>> 11) * 0x1p-53;
+        }
+
+        /** No link is opened for a while, the longer the more calls in a row were not answered. */
+        private void pause() {
+            retryAt = Math.max(retryAt, now + draw() * Math.min(timing.retryMost(),
+                    timing.retrySeconds() * Math.pow(2, Math.min(failed, DOUBLINGS_MOST))));
         }
 
         Next next() {
-            return new Next(new Following(timing, address, version, whole, links, nextId, retryAt),
+            return new Next(new Following(timing, address, version, whole, links, nextId, retryAt,
+                    failed, random),
                     List.copyOf(commands));
         }
 
@@ -199,6 +241,14 @@
             if (!to.equals(address)) {
                 address = to;
                 retryAt = now;
+                failed = 0;
+            }
+        }
+
+        void connected(int id) {
+            Link link = find(id);
+            if (link != null) {
+                replace(link.connected());
             }
         }
 
@@ -211,6 +261,7 @@
             boolean first = !link.answered;
             replace(link.heard(now, line));
             if (current(link)) {
+                failed = line ? 0 : failed;
                 if (first) {
                     close(other -> other.id != id && current(other));
                 }
@@ -244,7 +295,8 @@
             if (find(id) != null) {
                 whole = true;
                 close(link -> link.id == id);
-                retryAt = now + timing.retrySeconds();
+                failed++;
+                pause();
             }
         }
 
@@ -252,15 +304,17 @@
             version = Math.min(version, before);
             whole = true;
             close(link -> true);
-            retryAt = now + timing.retrySeconds();
+            failed++;
+            pause();
         }
 
         void ended(int id) {
             Link link = find(id);
             if (link != null) {
                 links.remove(link);
-                // One that had spoken is opened again at once; one that refuses is not hammered.
-                retryAt = Math.max(retryAt, now + (link.spoken ? 0 : timing.retrySeconds()));
+                // What ends for one gateway ends for all of them: even one that had spoken waits by chance.
+                failed += link.spoken ? 0 : 1;
+                pause();
             }
         }
 
@@ -270,9 +324,10 @@
                 return;
             }
             for (Link link : List.copyOf(links)) {
-                if (!link.answered && now - link.at >= timing.openSeconds()) {
+                if (now >= link.until(timing)) {
                     close(other -> other.id == link.id);
-                    retryAt = Math.max(retryAt, now);
+                    failed++;
+                    pause();
                 } else if (now - link.behindAt >= timing.epochSeconds()) {
                     whole = true;
                     close(other -> other.id == link.id);
@@ -284,7 +339,8 @@
         }
 
         private void open() {
-            Link link = new Link(nextId++, address, whole ? 0 : version, false, now, false, Double.NaN);
+            Link link = new Link(nextId++, address, whole ? 0 : version, false, false, now,
+                    timing.silenceSeconds() * (1 + draw() / 2), false, Double.NaN);
             links.add(link);
             commands.add(new Command.Open(link.id, link.address, link.asked));
         }
--- a/src/main/java/dunlinladder/wire/discovery/Watch.java
+++ b/src/main/java/dunlinladder/wire/discovery/Watch.java
@@ -42,13 +42,17 @@
     private final Map<Integer, Link> open = new ConcurrentHashMap<>();
     private Following state;
 
-    /** Creates a watch for what came after {@code version}; {@code news} is told in order, one at a time. */
-    public Watch(HostReader reader, Timing timing, Clock clock, long version, Consumer<News> news) {
+    /**
+     * Creates a watch for what came after {@code version}; {@code seed} feeds the pauses between calls,
+     * {@code news} is told in order, one at a time.
+     */
+    public Watch(HostReader reader, Timing timing, Clock clock, long version, long seed,
+            Consumer<News> news) {
         this.reader = reader;
         this.timing = timing;
         this.clock = clock;
         this.news = news;
-        this.state = Following.from(timing, version);
+        this.state = Following.from(timing, version, seed);
     }
 
     /** Follows discovery at this address from now on; nothing is missed on the way. */
@@ -187,6 +191,7 @@
                 request.setHeader("Host", wanted.address());
                 connection.sendRequestHeader(request);
                 connection.flush();
+                on(new Event.Connected(wanted.link()));
                 ClassicHttpResponse response = connection.receiveResponseHeader();
                 if (response.getCode() != 200) {
                     throw new IOException("status " + response.getCode());
