Release held states at the engine that answered last, and ask up to eight

EngineClient.release shuffled that list and ReleaseCall.Chain gave up after four engines, each of which may take 0.25 s to be silent; the module lets go of a state 0.25 s after its read, and 0.8 s is the bound.

Change: engines that answered this gateway of late come first, the latest ahead; eight engines, 0.15 s each.

Test: 59 of 60 engines say nothing; the release reaches the one that answered. It hung before.

--- a/src/main/java/dunlinladder/lifecycle/Config.java
+++ b/src/main/java/dunlinladder/lifecycle/Config.java
@@ -65,7 +65,7 @@
         Limits limits = new Limits(256 * 1024, bodies, 16 * 1024, 1024 * 1024, 64 * 1024, 16, 4096,
                 (int) Math.min(Math.min(each, 2 * memory), caps.integer("most-held", each)),
                 each, each, positive(caps, "connect-timeout", 0.25), keepalive / 3, 0.02,
-                30, 4, 0.25, 4, 0.02, positive(caps, "max-retry-after", 1), 2.5, 0.04, 10, 0.1,
+                30, 4, 0.15, 8, 0.02, positive(caps, "max-retry-after", 1), 2.5, 0.04, 10, 0.1,
                 0.6);
         List<Json> classes = settings.children("classes");
         return new Config(environment.getOrDefault("RELAY_NAME", file.text("name", "gateway")),
--- a/src/main/java/dunlinladder/wire/engine/Connections.java
+++ b/src/main/java/dunlinladder/wire/engine/Connections.java
@@ -9,6 +9,8 @@
 import java.net.UnknownHostException;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SocketChannel;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -56,6 +58,9 @@
     private final Limits limits;
     private final ScheduledExecutorService timer;
     private volatile long distrustedAt;
+    /** Nanoseconds since this was made at which each address last ended an answer well; the latest only. */
+    private final Map<String, Long> answered = new ConcurrentHashMap<>();
+    private final long madeAt = System.nanoTime();
     private final HttpProcessor processor = HttpProcessorBuilder.create()
             .addAll(new RequestContent(), new RequestTargetHost()).build();
     private final Http1Config config;
@@ -171,6 +176,7 @@
      * waits for nothing closes it.
      */
     void giveBack(PoolEntry<HttpHost, IOSession> entry) {
+        answered.put(entry.getRoute().toHostString(), System.nanoTime() - madeAt);
         timer.schedule(() -> {
             entry.updateExpiry(TimeValue.ofMilliseconds((long) (limits.idleSeconds() * 1000)));
             pool.release(entry, entry.getConnection().isOpen());
@@ -195,8 +201,15 @@
         pool.release(entry, false);
     }
 
+    /** When each address that answered of late did so last, on a clock of its own. */
+    Map<String, Long> answered() {
+        return Map.copyOf(answered);
+    }
+
     /** Closes what has been idle too long; to be called now and then. */
     public void closeIdle() {
+        long oldest = System.nanoTime() - madeAt - (long) (limits.idleSeconds() * 1e9);
+        answered.values().removeIf(at -> at < oldest);
         pool.closeExpired();
         pool.closeIdle(TimeValue.ofMilliseconds((long) (limits.idleSeconds() * 1000)));
     }
--- a/src/main/java/dunlinladder/wire/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/wire/engine/EngineClient.java
@@ -10,7 +10,9 @@
 import dunlinladder.core.Limits;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 
 /** The engines over HTTP. */
@@ -41,12 +43,18 @@
         return call;
     }
 
-    /** Any engine passes a release on, so any that is running will do; those that drain are asked last. */
+    /**
+     * Any engine passes a release on, so any that is running will do: the one that answered last is likely
+     * to, and a connection to it is open; the list may name many that are gone. Those that drain come last.
+     */
     @Override
     public void release(String id) {
         List<Engine> order = new ArrayList<>(engines.listed());
         Collections.shuffle(order);
-        order.sort((a, b) -> a.state().compareTo(b.state()));
+        Map<String, Long> answered = connections.answered();
+        order.sort(Comparator.comparing(Engine::state).thenComparing(
+                engine -> answered.getOrDefault(engine.address(), Long.MIN_VALUE),
+                Comparator.reverseOrder()));
         timer.execute(new ReleaseCall.Chain(connections, timer, limits, id, order.iterator())::next);
     }
 }
--- a/src/test/java/dunlinladder/wire/engine/ConnectionsTest.java
+++ b/src/test/java/dunlinladder/wire/engine/ConnectionsTest.java
@@ -2,10 +2,18 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.sun.net.httpserver.HttpServer;
+import dunlinladder.core.Clock;
+import dunlinladder.core.Decider;
+import dunlinladder.core.Engine;
+import dunlinladder.core.Engines;
+import dunlinladder.core.Gate;
 import dunlinladder.core.Limits;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -82,4 +90,38 @@
         }
         assertEquals(List.of(), timer.shutdownNow());
     }
+
+    /** Most of a stale list is gone: a release goes to the engine that answered last, not to any one. */
+    @Test
+    void aReleaseGoesToTheEngineThatAnsweredLast() throws Exception {
+        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+        HttpServer alive = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                5);
+        CompletableFuture<String> asked = new CompletableFuture<>();
+        alive.createContext("/", exchange -> asked.complete(exchange.getRequestMethod() + " "
+                + exchange.getRequestURI()));
+        alive.start();
+        try (ServerSocket gone = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+                Connections connections = new Connections(LIMITS, timer)) {
+            Engines engines = new Engines();
+            String address = "127.0.0.1:" + alive.getAddress().getPort();
+            List<Engine> listed = new ArrayList<>(List.of(engine("alive", address)));
+            for (int i = 0; i < 59; i++) {
+                // Each is gone without a word: connections come up and nothing is ever said on them.
+                listed.add(engine("gone-" + i, "127.0.0.1:" + gone.getLocalPort()));
+            }
+            engines.apply(Decider.Scope.COMPLETE, listed);
+            connections.giveBack(lease(connections, address));
+            new EngineClient(connections, engines, new Gate(engines, new Clock(), 0), new Clock(), LIMITS,
+                    timer).release("held");
+            assertEquals("DELETE /internal/reservations/held", asked.join());
+        } finally {
+            alive.stop(0);
+            timer.shutdownNow();
+        }
+    }
+
+    private static Engine engine(String id, String address) {
+        return new Engine(id, address, 0, 0, 0, Engine.State.ACTIVE, 1, 0);
+    }
 }
