Count cold engines as quick until heard of; try suspects with what may be repeated

At fault: Logic.knownLag took the jam at the warm readers for the wait at a cold one that was never tried, so that hopeless refused; pickReader held on to warm readers, which all count as keeping a beginning, up to two own reads and twice the least - of fourteen gateways, some thirty reads. Second: each gateway tried failing engines with listings, which are lost by it.

Change, where own counts say little (over eight gateways): a cold engine not heard of counts as quick, a reader is left once its wait passes a share of the aim and another is quicker, others' reads are told from its answers' times. Everywhere: a trial goes to a read or a safe request, to another only after twice the wait. The log of attempts, at debug, has class, role, age and seconds; list news is logged there too.

--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -1,5 +1,6 @@
 package dunlinladder.core;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
@@ -185,7 +186,8 @@
         Attempt attempt = new Attempt(request, trail.size(), engine != null ? engine : new Engine(
                 send.engine(), "", 0, 0, 0, Engine.State.LEFT, 0, 0), until, effect(engine));
         boolean forbidden = spent(request, trail) && attempt.effect();
-        trail.sent(attempt, clock.now());
+        double sentAt = clock.now();
+        trail.sent(attempt, sentAt);
         if (forbidden) {
             // Whatever the decisions went by, the facts say that it would run a second time.
             LOG.error("event=send_forbidden request={} class={} attempts={}", request.id(),
@@ -209,8 +211,14 @@
         entry.sent(call);
         Outcome outcome = call.await();
         trail.ended(outcome, clock.now());
-        LOG.debug("event=attempt request={} attempt={} engine={} outcome={}", request.id(), attempt.number(),
-                engine.id(), outcome);
+        if (LOG.isDebugEnabled()) {
+            // What is needed to count across a fleet: deploy/fleet-counts.py reads it.
+            double now = clock.now();
+            LOG.debug("event=attempt request={} class={} attempt={} engine={} reads={} age={} outcome={} "
+                    + "seconds={}", request.id(), request.serviceClass(), attempt.number(), engine.id(),
+                    !attempt.effect(), engine.startedAt() > 0 ? (long) (now - engine.startedAt()) : "long",
+                    outcome.ending(), String.format(Locale.ROOT, "%.3f", now - sentAt));
+        }
         boolean ok = outcome.ending() == Outcome.Ending.OK;
         boolean rejected = outcome.ending() == Outcome.Ending.REJECTED;
         boolean last = ok || begun[0] || rejected || entry.gone();
--- a/src/main/java/dunlinladder/core/Engines.java
+++ b/src/main/java/dunlinladder/core/Engines.java
@@ -35,6 +35,11 @@
                 && listed.address().equals(engine.address());
     }
 
+    /** How many engines are still listed. */
+    public int size() {
+        return byId.size();
+    }
+
     /** All engines that are still listed. */
     public List<Engine> listed() {
         return List.copyOf(byId.values());
--- a/src/main/java/dunlinladder/decision/Logic.java
+++ b/src/main/java/dunlinladder/decision/Logic.java
@@ -355,8 +355,10 @@
             return null;
         }
         double enough = KEPT_LEAST * job.request.promptTokens();
-        double bound = readerLoad(least) * KEPT_RATIO + KEPT_READS - blind * KEPT_BLIND;
-        List<Worker> near = readers.stream().filter(w -> readerLoad(w) <= bound).toList();
+        double bound = readerLoad(least) * KEPT_RATIO + KEPT_READS - (blind > 0 ? KEPT_BLIND : 0);
+        double wait = Math.max(BEHIND * job.aim(), knownLag(least) * size(job, least));
+        List<Worker> near = readers.stream().filter(w -> readerLoad(w) <= bound
+                && (blind == 0 || knownLag(w) * size(job, w) <= wait)).toList();
         double most = near.stream().mapToDouble(w -> kept(job, w)).max().orElse(0);
         if (most >= enough) {
             return inOrder(job, near.stream().filter(w -> kept(job, w) >= most).toList());
@@ -406,11 +408,20 @@
 
     private double readerLoad(Worker w) {
         double reads = FAILURE_LOAD * failureCount(w) + Math.max(w.reads, w.readTokens / meanTokens);
-        double load = (reads + blind) / w.speed - blind
+        double load = (reads + blind * othersReads(w)) / w.speed - blind
                 + REPORT_WEIGHT * reportedWait(w) / (meanTokens / 1000) + CELL_WEIGHT * cellPressure(w);
         return load + zoneMargin(w);
     }
 
+    /**
+     * What other routers have at a reader, against the mean of its role: as its answers take against the
+     * usual time. Guards against all routers queuing at the few warm readers while cold ones are quick.
+     */
+    private double othersReads(Worker w) {
+        double usual = medianLag[w.role.ordinal()];
+        return (knownLag(w) + DELAY_FLOOR) / (usual + DELAY_FLOOR);
+    }
+
     private double zoneMargin(Worker w) {
         return w.member.zone() == settings.zone() ? 0 : ZONE_MARGIN * (1 - blind);
     }
@@ -546,7 +557,7 @@
         List<Worker> open = workers.values().stream().filter(w -> w.open && now >= w.fullUntil && role.test(w)
                 && job.request.fits().test(w.id) && repeatAllowed(job, w) && coldBudgetLeft(w)).toList();
         List<Worker> fit = open.stream().filter(w -> !suspect(w)
-                || w.pending.isEmpty() && now >= w.nextTrialAt).toList();
+                || w.pending.isEmpty() && now >= trialAt(job, w)).toList();
         List<Worker> fresh = (open.size() - fit.size() > open.size() * MOST_BARRED ? open : fit).stream()
                 .filter(w -> !job.tried.contains(w)).toList();
         return !fresh.isEmpty() || job.tried.isEmpty() ? fresh
@@ -793,8 +804,13 @@
         return lag;
     }
 
+    /**
+     * Where own counts say little, a cold server not yet heard of counts as quick: what routers may send
+     * there is bounded. Guards against refusing for the jam at the few warm ones while cold ones are idle.
+     */
     private double knownLag(Worker w) {
-        return Double.isNaN(w.lag) ? medianLag[w.role.ordinal()] : w.lag;
+        boolean untried = blind > 0 && isCold(w);
+        return !Double.isNaN(w.lag) ? w.lag : untried ? 0 : medianLag[w.role.ordinal()];
     }
 
     /** Once for each clock time, when needed: how servers stand against the open ones of their role. */
@@ -861,6 +877,12 @@
         return w.failedInRow >= (blind > 0 ? 1 : SUSPECT_FAILURES) || w.slowness >= SUSPECT;
     }
 
+    /** A trial goes to a request that may be repeated; to another one only where none came for long. */
+    private double trialAt(Job job, Worker w) {
+        boolean harmless = w.role == Role.READ || job.type.effect() == Effect.SAFE;
+        return w.nextTrialAt + (harmless ? 0 : trialWait(w));
+    }
+
     private double trialWait(Worker w) {
         return TRIAL_WAIT * (1 << Math.min(w.failedInRow, TRIAL_DOUBLINGS)) * (1 + TRIAL_STRETCH * blind);
     }
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -171,6 +171,8 @@
     private void learn(News news) {
         if (!news.whole() || !news.engines().isEmpty()) {
             engines.apply(news.scope(), news.engines());
+            LOG.debug("event=list version={} scope={} named={} listed={}", news.version(), news.scope(),
+                    news.engines().size(), engines.size());
             told.execute(() -> decisions.list(news.scope(), news.engines()));
         }
     }
--- a/src/test/java/dunlinladder/decision/LogicTest.java
+++ b/src/test/java/dunlinladder/decision/LogicTest.java
@@ -503,4 +503,73 @@
         }
         assertTrue(erring <= 6, "sends to the erring reader: " + erring);
     }
+
+    /**
+     * Six in ten readers are replaced and the others jam: fourteen routers, each of which has yet to hear of
+     * the cold ones, must not refuse for the jam while these stand idle.
+     */
+    @Test
+    void coldReadersNotYetHeardOfTakeWhatWaitsAtTheWarmOnes() {
+        int cold = 0;
+        int refused = 0;
+        for (int router = 0; router < 14; router++) {
+            Fleet fleet = new Fleet().routers(14);
+            for (int k = 0; k < 10; k++) {
+                fleet.with("r" + k, 0, Role.READ).with("w" + k, 0, Role.WRITE);
+            }
+            fleet.seed(router);
+            for (int i = 0; i < 80; i++) {
+                fleet.shared("a" + i, i % 20);
+                fleet.run(0.2);
+                fleet.serve("a" + i);
+            }
+            for (int k = 4; k < 10; k++) {
+                fleet.restart("r" + k);
+            }
+            fleet.run(4);
+            for (int i = 0; i < 8; i++) {
+                // What goes to a warm reader takes over a second, several times the usual.
+                fleet.shared("b" + i, i);
+                boolean sent = fleet.finals("b" + i) == 0;
+                boolean warm = sent && fleet.lastSend().worker().compareTo("r4") < 0;
+                refused += sent ? 0 : 1;
+                cold += sent && !warm ? 1 : 0;
+                fleet.run(warm ? 1.2 : 0.2);
+                if (sent) {
+                    fleet.serve("b" + i);
+                }
+            }
+        }
+        assertTrue(cold > 14 && refused < 14, cold + " at cold readers, " + refused + " refused, of 112");
+    }
+
+    /** Every router tries a failing engine now and then: not with what is lost if it fails once more. */
+    @Test
+    void trialsOfAFailingEngineGoToWhatMayBeRepeated() {
+        int safe = sentToAFailingEngine(Effect.SAFE);
+        int unsafe = sentToAFailingEngine(Effect.UNSAFE);
+        assertTrue(unsafe >= 2 && unsafe < safe, unsafe + " listings, " + safe + " lookups");
+    }
+
+    private static int sentToAFailingEngine(Effect effect) {
+        Fleet fleet = new Fleet().type(effect, Group.ALL).routers(14).with("r0", 0, Role.READ)
+                .with("m0", 0, Role.BOTH).with("m1", 0, Role.BOTH).with("m2", 0, Role.BOTH).seed(1);
+        int failing = 0;
+        for (int i = 0; i < 400; i++) {
+            fleet.arrive("a" + i);
+            if (fleet.lastSend().worker().startsWith("r")) {
+                fleet.outcome("a" + i, Status.READ);
+            }
+            if (fleet.lastSend().worker().equals("m0")) {
+                failing++;
+                fleet.outcome("a" + i, Status.ERROR, 0, true);
+            } else {
+                fleet.run(0.05);
+                fleet.first("a" + i);
+                fleet.outcome("a" + i, Status.OK);
+            }
+            fleet.run(0.15);
+        }
+        return failing;
+    }
 }
