--- a/src/main/java/dunlinladder/decision/Logic.java
+++ b/src/main/java/dunlinladder/decision/Logic.java
@@ -355,10 +355,12 @@
             return null;
         }
         double enough = KEPT_LEAST * job.request.promptTokens();
-        double bound = readerLoad(least) * KEPT_RATIO + KEPT_READS - (blind > 0 ? KEPT_BLIND : 0);
-        double wait = Math.max(BEHIND * job.aim(), knownLag(least) * size(job, least));
+        boolean coldIsFree = blind > 0 && isCold(least);
+        double bound = readerLoad(least) * KEPT_RATIO + KEPT_READS - (coldIsFree ? 1 : blind) * KEPT_BLIND;
+        double wait = coldIsFree ? Math.max(BEHIND * job.aim(), knownLag(least) * size(job, least))
+                : Double.POSITIVE_INFINITY;
         List<Worker> near = readers.stream().filter(w -> readerLoad(w) <= bound
-                && (blind == 0 || knownLag(w) * size(job, w) <= wait)).toList();
+                && knownLag(w) * size(job, w) <= wait).toList();
         double most = near.stream().mapToDouble(w -> kept(job, w)).max().orElse(0);
         if (most >= enough) {
             return inOrder(job, near.stream().filter(w -> kept(job, w) >= most).toList());
@@ -414,12 +416,13 @@
     }
 
     /**
-     * What other routers have at a reader, against the mean of its role: as its answers take against the
-     * usual time. Guards against all routers queuing at the few warm readers while cold ones are quick.
+     * What other routers have at a reader, against the mean of its role; at a cold one as its answers take
+     * against the usual time. Guards against all routers queuing at the few warm readers while cold ones are
+     * quick; where all are warm, leaving a reader for it would cost what it keeps.
      */
     private double othersReads(Worker w) {
         double usual = medianLag[w.role.ordinal()];
-        return (knownLag(w) + DELAY_FLOOR) / (usual + DELAY_FLOOR);
+        return isCold(w) ? (knownLag(w) + DELAY_FLOOR) / (usual + DELAY_FLOOR) : 1;
     }
 
     private double zoneMargin(Worker w) {
@@ -898,13 +901,17 @@
         return isCold(w) ? from + (1 - from) * (now - w.member.startedAt()) / settings.rules().cold() : 1;
     }
 
-    /** Counts an answer of a role: reads done, or streams begun; the peak is what the role can do. */
+    /**
+     * Counts an answer of a role: reads done, or streams begun; the peak is what the role can do. Counted
+     * over long, a rate shows late after the start, when a cold budget needs it: so by the time seen.
+     */
     private void countServed(Role role) {
         int r = role.ordinal();
         firstServedAt = Math.min(firstServedAt, now);
         double window = RATE_WINDOW * (1 + blind * (RATE_STRETCH - 1));
         served[r] = served[r] * Math.exp((servedAt[r] - now) / window) + 1 / window;
-        peak[r] = Math.max(served[r], peak[r] * Math.exp((servedAt[r] - now) / PEAK_FADE));
+        double seen = blind == 0 ? 1 : 1 - Math.exp(-Math.max(RATE_WINDOW, now - firstServedAt) / window);
+        peak[r] = Math.max(served[r] / seen, peak[r] * Math.exp((servedAt[r] - now) / PEAK_FADE));
         servedAt[r] = now;
     }
 
