--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -212,7 +212,7 @@
         Outcome outcome = call.await();
         trail.ended(outcome, clock.now());
         if (LOG.isDebugEnabled()) {
-            // What is needed to count across a fleet: deploy/fleet-counts.py reads it.
+            // What is needed to count across a fleet; deploy/fleet-counts.py reads it.
             double now = clock.now();
             LOG.debug("event=attempt request={} class={} attempt={} engine={} reads={} age={} outcome={} "
                     + "seconds={}", request.id(), request.serviceClass(), attempt.number(), engine.id(),
