Tests of lists in which ids come and go, and of sixty engines replaced again and again

Need: memory bounded by live engines, and a list change that names an id twice, had no case at this size. Both held already; the cases keep it so.

--- /dev/null
+++ b/src/test/java/dunlinladder/core/EnginesTest.java
@@ -0,0 +1,59 @@
+package dunlinladder.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The list of a large fleet whose engines come and go. */
+class EnginesTest {
+
+    private final Engines engines = new Engines();
+
+    private static Engine engine(String id, String address, Engine.State state) {
+        return new Engine(id, address, 0, 0, 0, state, 1, 0);
+    }
+
+    @Test
+    void idsThatComeAndGoWithinOneChangeEndAsItsLastEntrySays() {
+        engines.apply(Decider.Scope.COMPLETE, List.of(engine("x", "10.0.0.1:80", Engine.State.ACTIVE)));
+        Engine before = engines.find("x");
+        Engine back = engine("x", "10.0.0.2:80", Engine.State.ACTIVE);
+        Engine brief = engine("y", "10.0.0.3:80", Engine.State.ACTIVE);
+        engines.apply(Decider.Scope.CHANGES, List.of(engine("x", "10.0.0.1:80", Engine.State.LEFT), back,
+                brief, engine("y", "10.0.0.3:80", Engine.State.LEAVING),
+                engine("y", "10.0.0.3:80", Engine.State.LEFT)));
+        assertFalse(engines.accepts(before), "decided for the address before the restart");
+        assertTrue(engines.accepts(back));
+        assertNull(engines.find("y"));
+        assertFalse(engines.accepts(brief));
+    }
+
+    /** Six in ten of sixty engines are replaced again and again: only those that live are held. */
+    @Test
+    void isBoundedByTheEnginesThatLive() {
+        List<Engine> live = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            live.add(engine("e" + i, "10.0.1." + i + ":80", Engine.State.ACTIVE));
+        }
+        engines.apply(Decider.Scope.COMPLETE, live);
+        for (int round = 0; round < 50; round++) {
+            List<Engine> change = new ArrayList<>();
+            for (int i = 0; i < 36; i++) {
+                Engine old = live.get(i);
+                change.add(engine(old.id(), old.address(), Engine.State.LEFT));
+                live.set(i, engine("e" + round + "-" + i, "10.0.2." + i + ":80", Engine.State.ACTIVE));
+                change.add(live.get(i));
+            }
+            engines.apply(Decider.Scope.CHANGES, change);
+            assertEquals(60, engines.size());
+        }
+        assertTrue(live.stream().allMatch(engines::accepts));
+        engines.apply(Decider.Scope.COMPLETE, live.subList(0, 3));
+        assertEquals(3, engines.size());
+    }
+}
--- a/src/test/java/dunlinladder/decision/LogicTest.java
+++ b/src/test/java/dunlinladder/decision/LogicTest.java
@@ -64,6 +64,25 @@
         assertEquals("3 0 0", relisted.remembered());
     }
 
+    /** Six in ten of sixty engines are replaced again and again under new ids: nothing is kept of the old. */
+    @Test
+    void whatIsKnownIsBoundedByTheEnginesThatLive() throws Exception {
+        Fleet fleet = new Fleet().routers(14);
+        for (int i = 0; i < 60; i++) {
+            fleet.with("e0-" + i, i % 12, Role.values()[i % 3]);
+        }
+        fleet.seed(1);
+        for (int round = 1; round < 20; round++) {
+            fleet.shared("a" + round, round);
+            for (int i = 0; i < 36; i++) {
+                fleet.leave("e" + (round - 1) + "-" + i).without("e" + (round - 1) + "-" + i)
+                        .with("e" + round + "-" + i, i % 12, Role.values()[i % 3]);
+            }
+            fleet.listed();
+            assertTrue(fleet.remembered().startsWith("60 "), fleet.remembered());
+        }
+    }
+
     @Test
     void mixedServerTakesItsShareWhole() {
         Fleet fleet = new Fleet().with("r0", 0, Role.READ).with("w0", 0, Role.WRITE)
