--- a/src/main/java/dunlinladder/decision/Logic.java
+++ b/src/main/java/dunlinladder/decision/Logic.java
@@ -112,8 +112,6 @@
     /** Times the usual delay after which an attempt is given up, and the least share of the aim. */
     private static final double TIMEOUT_FACTOR = 6;
     private static final double TIMEOUT_LEAST = 0.4;
-    /** The same share where servers are seldom met: the usual delay then says little of a jam that begins. */
-    private static final double TIMEOUT_SELDOM = 0.7;
     /** Repeats earned by each arrival and the most saved up; retries must not amplify overload. */
     private static final double REPEATS_EARNED = 0.2;
     private static final double REPEATS_MOST = 20;
@@ -643,7 +641,7 @@
         boolean canRepeat = settings.maxAttempts() - job.attempts >= (attempt.stage == Stage.READ ? 2 : 1)
                 && (attempt.stage == Stage.READ || job.type.effect() == Effect.SAFE) && repeats >= 1;
         double usual = Math.max(medianLag[w.role.ordinal()], suspect(w) ? 0 : knownLag(w)) * attempt.size;
-        double least = (blind > 0 ? TIMEOUT_SELDOM : TIMEOUT_LEAST) * job.aim();
+        double least = TIMEOUT_LEAST * job.aim();
         double wait = Math.max(least, TIMEOUT_FACTOR * usual);
         return canRepeat && wait < job.request.expires() - now - least ? wait : 0;
     }
