Say of kept connections and races what they do now; one look at the clock an attempt

Seen on a last reading: the page of Timing still spoke of a race with a link that has not answered (it is one whose connection has not come up); Connections said that an address had answered where an unused connection counts too; an attempt's end looked at the clock twice; a test held a copy of its time. Behaviour is as it was.

--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -210,14 +210,15 @@
         }
         entry.sent(call);
         Outcome outcome = call.await();
-        trail.ended(outcome, clock.now());
+        double endedAt = clock.now();
+        trail.ended(outcome, endedAt);
         if (LOG.isDebugEnabled()) {
             // What is needed to count across a fleet; deploy/fleet-counts.py reads it.
-            double now = clock.now();
             LOG.debug("event=attempt request={} class={} attempt={} engine={} reads={} age={} outcome={} "
                     + "seconds={}", request.id(), request.serviceClass(), attempt.number(), engine.id(),
-                    !attempt.effect(), engine.startedAt() > 0 ? (long) (now - engine.startedAt()) : "long",
-                    outcome.ending(), String.format(Locale.ROOT, "%.3f", now - sentAt));
+                    !attempt.effect(),
+                    engine.startedAt() > 0 ? (long) (endedAt - engine.startedAt()) : "long",
+                    outcome.ending(), String.format(Locale.ROOT, "%.3f", endedAt - sentAt));
         }
         boolean ok = outcome.ending() == Outcome.Ending.OK;
         boolean rejected = outcome.ending() == Outcome.Ending.REJECTED;
--- a/src/main/java/dunlinladder/membership/Timing.java
+++ b/src/main/java/dunlinladder/membership/Timing.java
@@ -3,7 +3,7 @@
 /**
  * The times by which the list is followed, all in seconds, and a count.
  *
- * @param raceSeconds    after which a link that has not answered gets a second one beside it
+ * @param raceSeconds    after which a link whose connection has not come up gets a second one beside it
  * @param openSeconds    after which a link whose connection has not come up is given up
  * @param answerSeconds  after which a link that is connected and has not answered is given up: its call may
  *                       wait in turn, and another one would only make the queue longer
--- a/src/main/java/dunlinladder/wire/engine/Connections.java
+++ b/src/main/java/dunlinladder/wire/engine/Connections.java
@@ -58,7 +58,7 @@
     private final Limits limits;
     private final ScheduledExecutorService timer;
     private volatile long distrustedAt;
-    /** Nanoseconds since this was made at which each address last ended an answer well; the latest only. */
+    /** Nanoseconds since this was made at which each address last left a connection fit for reuse. */
     private final Map<String, Long> answered = new ConcurrentHashMap<>();
     private final long madeAt = System.nanoTime();
     private final HttpProcessor processor = HttpProcessorBuilder.create()
@@ -201,7 +201,7 @@
         pool.release(entry, false);
     }
 
-    /** When each address that answered of late did so last, on a clock of its own. */
+    /** When each address was last found to answer, or at least to accept, on a clock of its own. */
     Map<String, Long> answered() {
         return Map.copyOf(answered);
     }
--- a/src/test/java/dunlinladder/membership/FollowingTest.java
+++ b/src/test/java/dunlinladder/membership/FollowingTest.java
@@ -261,11 +261,10 @@
                         : new Event.Answered((int) call[1]), at);
                 overbooked(fleet, queue, (int) call[0], new Event.Beat((int) call[1]), at);
             }
-            double beat = at;
             for (int g = 0; g < fleet.size(); g++) {
                 for (Following.Link link : fleet.get(g).links()) {
                     if (link.answered()) {
-                        overbooked(fleet, queue, g, new Event.Beat(link.id()), beat);
+                        overbooked(fleet, queue, g, new Event.Beat(link.id()), at);
                     }
                 }
             }
