Releases ask the zones in turn, one more engine beside after each silence; stop waits for them

Need: what is held has to be let go within 500 ms plus 300, also behind a cut. A gateway of a hundred meets few engines, mostly of its own zone: "the engine that answered last" is then a row of engines of one zone, and each that is silent took 150 ms before the next was asked, so that the fourth was the last in time after a state that waited 250 ms. And Gateway.stop ended the process 100 ms after the last answer, with releases still on their way.

Checked: in a test with four silent engines of one zone that had answered and a fifth of another zone, the release never arrived (the test timed out; a first form of the order, zones in turn among those that had answered, failed it too).

Change: core.ReleaseOrder (pure), ReleaseCall.Chain asks one more beside after each silence, EngineClient counts releases that are out and Gateway.stop waits for them.

--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -41,6 +41,7 @@
     private final Engines engines = new Engines();
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
             task -> daemon(task, "timer"));
+    private final EngineClient client;
     private final Decisions decisions;
     private final Dispatcher dispatcher;
     private final Server server;
@@ -62,7 +63,7 @@
         Clock clock = new Clock();
         Connections connections = new Connections(limits, timer);
         Gate gate = new Gate(engines, clock, limits.gateSeconds());
-        EngineClient client = new EngineClient(connections, engines, gate, clock, limits, timer);
+        client = new EngineClient(connections, engines, gate, clock, limits, timer);
         decisions = new Decisions(config.settings(), config.seed(), clock, client::release);
         ThreadPoolExecutor pool = new ThreadPoolExecutor(4, limits.requests(), 10, TimeUnit.SECONDS,
                 new SynchronousQueue<>(), task -> daemon(task, "request"));
@@ -200,7 +201,8 @@
             each.stopListening();
             each.closeIdle();
         }
-        while (dispatcher.active() > 0) {
+        // What is held at engines for a request outlives its answer until a release has arrived.
+        while (dispatcher.active() > 0 || client.releasing() > 0) {
             Thread.sleep(20);
         }
         // The last answers may still be on their way out of the process.
--- a/src/main/java/dunlinladder/wire/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/wire/engine/EngineClient.java
@@ -8,12 +8,12 @@
 import dunlinladder.core.Engines;
 import dunlinladder.core.Gate;
 import dunlinladder.core.Limits;
+import dunlinladder.core.ReleaseOrder;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** The engines over HTTP. */
 public final class EngineClient implements EngineCalls {
@@ -24,6 +24,7 @@
     private final Clock clock;
     private final Limits limits;
     private final ScheduledExecutorService timer;
+    private final AtomicInteger releasing = new AtomicInteger();
 
     /** Creates a client; {@code timer} moves releases on that get no answer. */
     public EngineClient(Connections connections, Engines engines, Gate gate, Clock clock, Limits limits,
@@ -43,18 +44,18 @@
         return call;
     }
 
-    /**
-     * Any engine passes a release on, so any that is running will do: the one that answered last is likely
-     * to, and a connection to it is open; the list may name many that are gone. Those that drain come last.
-     */
     @Override
     public void release(String id) {
-        List<Engine> order = new ArrayList<>(engines.listed());
-        Collections.shuffle(order);
-        Map<String, Long> answered = connections.answered();
-        order.sort(Comparator.comparing(Engine::state).thenComparing(
-                engine -> answered.getOrDefault(engine.address(), Long.MIN_VALUE),
-                Comparator.reverseOrder()));
-        timer.execute(new ReleaseCall.Chain(connections, timer, limits, id, order.iterator())::next);
+        List<Engine> listed = new ArrayList<>(engines.listed());
+        Collections.shuffle(listed);
+        List<Engine> order = ReleaseOrder.of(listed, connections.answered());
+        releasing.incrementAndGet();
+        timer.execute(new ReleaseCall.Chain(connections, timer, limits, id, order.iterator(),
+                releasing::decrementAndGet)::next);
+    }
+
+    /** How many releases no engine has taken yet and are still being tried. */
+    public int releasing() {
+        return releasing.get();
     }
 }
--- a/src/main/java/dunlinladder/wire/engine/ReleaseCall.java
+++ b/src/main/java/dunlinladder/wire/engine/ReleaseCall.java
@@ -30,36 +30,74 @@
         this.engine = engine;
     }
 
-    /** Asks one engine after another until one has answered. */
+    /**
+     * Asks one engine after another until one has answered. One that is silent may be behind a cut, and so may
+     * the next: from each silence on one more is asked beside, since what is held has to be let go in time.
+     * All of it runs on the timer's thread.
+     */
     static final class Chain {
         private final Connections connections;
         private final ScheduledExecutorService timer;
         private final Limits limits;
         private final String id;
         private final Iterator<Engine> order;
+        private final Runnable over;
         private int tries;
+        private int open;
+        private boolean done;
 
+        /** {@code over} runs once, when an engine has answered or none is left to be asked. */
         Chain(Connections connections, ScheduledExecutorService timer, Limits limits, String id,
-                Iterator<Engine> order) {
+                Iterator<Engine> order, Runnable over) {
             this.connections = connections;
             this.timer = timer;
             this.limits = limits;
             this.id = id;
             this.order = order;
+            this.over = over;
         }
 
         void next() {
-            if (tries++ >= limits.releaseTries() || !order.hasNext()) {
-                LOG.warn("no engine took the release of {}", id);
+            if (done) {
                 return;
             }
-            ReleaseCall call = new ReleaseCall(this, order.next());
-            call.start(call.engine.address());
-            timer.schedule(() -> call.failed(null), (long) (limits.releaseSeconds() * 1e6),
-                    TimeUnit.MICROSECONDS);
+            if (tries < limits.releaseTries() && order.hasNext()) {
+                tries++;
+                open++;
+                ReleaseCall call = new ReleaseCall(this, order.next());
+                call.start(call.engine.address());
+                timer.schedule(() -> silent(call), (long) (limits.releaseSeconds() * 1e6),
+                        TimeUnit.MICROSECONDS);
+            } else if (open == 0) {
+                LOG.warn("no engine took the release of {}", id);
+                finish();
+            }
+        }
+
+        private void silent(ReleaseCall call) {
+            if (!call.settled()) {
+                call.failed(null);
+                next();
+            }
+        }
+
+        private void broke() {
+            open--;
+            next();
+        }
+
+        private void finish() {
+            if (!done) {
+                done = true;
+                over.run();
+            }
         }
     }
 
+    private synchronized boolean settled() {
+        return settled;
+    }
+
     private synchronized boolean settle() {
         boolean now = !settled;
         settled = true;
@@ -75,7 +113,7 @@
     @Override
     void broken() {
         if (settle()) {
-            chain.timer.execute(chain::next);
+            chain.timer.execute(chain::broke);
         }
     }
 
@@ -90,7 +128,9 @@
     @Override
     void head(HttpResponse response, EntityDetails entity) {
         if (response.getCode() < 300) {
-            settle();
+            if (settle()) {
+                chain.timer.execute(chain::finish);
+            }
         } else {
             broken();
         }
--- a/src/test/java/dunlinladder/wire/engine/ConnectionsTest.java
+++ b/src/test/java/dunlinladder/wire/engine/ConnectionsTest.java
@@ -105,10 +105,10 @@
                 Connections connections = new Connections(LIMITS, timer)) {
             Engines engines = new Engines();
             String address = "127.0.0.1:" + alive.getAddress().getPort();
-            List<Engine> listed = new ArrayList<>(List.of(engine("alive", address)));
+            List<Engine> listed = new ArrayList<>(List.of(engine("alive", address, 0)));
             for (int i = 0; i < 59; i++) {
                 // Each is gone without a word: connections come up and nothing is ever said on them.
-                listed.add(engine("gone-" + i, "127.0.0.1:" + gone.getLocalPort()));
+                listed.add(engine("gone-" + i, "127.0.0.1:" + gone.getLocalPort(), 0));
             }
             engines.apply(Decider.Scope.COMPLETE, listed);
             connections.giveBack(lease(connections, address));
@@ -121,7 +121,58 @@
         }
     }
 
-    private static Engine engine(String id, String address) {
-        return new Engine(id, address, 0, 0, 0, Engine.State.ACTIVE, 1, 0);
+    /**
+     * All engines that answered of late are behind a cut, and their zone is asked in turn with another one. A
+     * gateway that ends waits until the release has arrived.
+     */
+    @Test
+    void aReleaseLeavesAZoneThatIsCutOff() throws Exception {
+        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+        HttpServer alive = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 5);
+        CompletableFuture<String> asked = new CompletableFuture<>();
+        CountDownLatch seen = new CountDownLatch(1);
+        alive.createContext("/", exchange -> {
+            asked.complete(exchange.getRequestMethod() + " " + exchange.getRequestURI());
+            try {
+                seen.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            exchange.sendResponseHeaders(204, -1);
+            exchange.close();
+        });
+        alive.start();
+        List<ServerSocket> cut = new ArrayList<>();
+        try (Connections connections = new Connections(LIMITS, timer)) {
+            Engines engines = new Engines();
+            String address = "127.0.0.1:" + alive.getAddress().getPort();
+            List<Engine> listed = new ArrayList<>(List.of(engine("alive", address, 1)));
+            for (int i = 0; i < LIMITS.releaseTries(); i++) {
+                cut.add(new ServerSocket(0, 100, InetAddress.getLoopbackAddress()));
+                String silent = "127.0.0.1:" + cut.get(i).getLocalPort();
+                listed.add(engine("cut-" + i, silent, 0));
+                connections.giveBack(lease(connections, silent));
+            }
+            engines.apply(Decider.Scope.COMPLETE, listed);
+            EngineClient client = new EngineClient(connections, engines, new Gate(engines, new Clock(), 0),
+                    new Clock(), LIMITS, timer);
+            client.release("held");
+            assertEquals("DELETE /internal/reservations/held", asked.join());
+            assertEquals(1, client.releasing());
+            seen.countDown();
+            while (client.releasing() > 0) {
+                Thread.onSpinWait();
+            }
+        } finally {
+            alive.stop(0);
+            timer.shutdownNow();
+            for (ServerSocket each : cut) {
+                each.close();
+            }
+        }
+    }
+
+    private static Engine engine(String id, String address, int zone) {
+        return new Engine(id, address, zone, 0, 0, Engine.State.ACTIVE, 1, 0);
     }
 }
