Look at the configuration again while discovery does not answer: SIGHUP may be ignored

Gateways found the new address only by their restart.

Whoever starts a gateway where SIGHUP is ignored hands that on, and a JVM that finds SIGHUP ignored leaves it so, whatever handler Main asks for.

Change: while calls to discovery are not answered, the file is looked at once a second, and read when it has changed since the last look. A test without a signal, on sockets.

--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -151,6 +151,15 @@
         return port;
     }
 
+    /** Runs {@code look} on a thread of its own about once a second while discovery does not answer. */
+    void whileDiscoveryIsLost(Runnable look) {
+        timer.scheduleWithFixedDelay(() -> {
+            if (watch.failing()) {
+                daemon(look, "configuration").start();
+            }
+        }, 1, 1, TimeUnit.SECONDS);
+    }
+
     /** The list of engines that a configuration holds, checked; null where it has none. */
     private News known(Config from) {
         return from.known().has("hosts") ? hosts.read(from.known(), true) : null;
--- a/src/main/java/dunlinladder/lifecycle/Main.java
+++ b/src/main/java/dunlinladder/lifecycle/Main.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -31,6 +32,9 @@
               apply FILE|P [--state STATE]          applies an operator's file, or a saved plan
               simhost                               the simulator's adapter""";
 
+    /** When the file had last changed at the last look. */
+    private static FileTime lookedAt;
+
     private Main() {
     }
 
@@ -78,6 +82,7 @@
         // Without a handler of its own SIGHUP ends the JVM.
         Signal.handle(new Signal("HUP"), signal -> reload(gateway));
         gateway.start();
+        gateway.whileDiscoveryIsLost(() -> lookAgain(gateway));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             int status = 0;
             try {
@@ -91,6 +96,23 @@
         new CountDownLatch(1).await();
     }
 
+    /**
+     * Discovery may have moved although no SIGHUP came: a JVM that is started where that signal is ignored, as
+     * under nohup, never hears of it, whatever handler it asks for. So the file is looked at once more, and
+     * read if it has changed since the last look.
+     */
+    private static synchronized void lookAgain(Gateway gateway) {
+        try {
+            FileTime changed = Files.getLastModifiedTime(Path.of(System.getenv("RELAY_CONFIG")));
+            if (!changed.equals(lookedAt)) {
+                lookedAt = changed;
+                reload(gateway);
+            }
+        } catch (IOException e) {
+            LOG.warn("discovery does not answer, and the configuration cannot be looked at: {}", e.toString());
+        }
+    }
+
     /** A bad file must not cost a gateway that serves: it keeps what it has, and says why. */
     private static synchronized void reload(Gateway gateway) {
         try {
--- a/src/main/java/dunlinladder/wire/discovery/Watch.java
+++ b/src/main/java/dunlinladder/wire/discovery/Watch.java
@@ -91,6 +91,11 @@
         return false;
     }
 
+    /** Whether the last call to discovery was not answered. */
+    public synchronized boolean failing() {
+        return state.failed() > 0;
+    }
+
     private synchronized void on(Event event) {
         Following.Next next = state.on(event, clock.now());
         state = next.state();
--- a/src/test/java/dunlinladder/it/RulesTest.java
+++ b/src/test/java/dunlinladder/it/RulesTest.java
@@ -200,6 +200,18 @@
         }
     }
 
+    /** Under nohup a JVM hears no SIGHUP: discovery that is lost is sought where the file says now. */
+    @Test
+    void lostDiscoveryIsSoughtWhereTheFileSays() throws Exception {
+        StandIn.until(() -> running.discovery.seen.size() == 1);
+        try (StandIn next = new StandIn("discovery")) {
+            running.configure(next.address(), Running.SETTINGS);
+            running.discovery.close();
+            running.discovery.dropConnections();
+            StandIn.until(() -> next.seen.size() == 1);
+        }
+    }
+
     private int plain() throws Exception {
         try (Browser browser = running.post(Running.freshId(), "lookup", "4.0", "plain")) {
             assertTrue(browser.head());
