--- a/src/main/java/dunlinladder/core/ReleaseOrder.java
+++ b/src/main/java/dunlinladder/core/ReleaseOrder.java
@@ -25,7 +25,7 @@
      * may then be a row of engines none of which can be reached.
      *
      * @param listed   all engines, in an order that differs by request
-     * @param answered when each address was last found to answer, on any clock; absent for those that were not
+     * @param answered when each address was last found to answer, on any clock; absent where it was not
      */
     public static List<Engine> of(List<Engine> listed, Map<String, Long> answered) {
         List<Engine> sorted = new ArrayList<>(listed);
--- a/src/main/java/dunlinladder/lifecycle/Main.java
+++ b/src/main/java/dunlinladder/lifecycle/Main.java
@@ -97,8 +97,8 @@
     }
 
     /**
-     * Discovery may have moved although no SIGHUP came: a JVM that is started where that signal is ignored, as
-     * under nohup, never hears of it, whatever handler it asks for. So the file is looked at once more, and
+     * Discovery may have moved although no SIGHUP came: a JVM started where that signal is ignored, as under
+     * nohup, never hears of it, whatever handler it asks for. So the file is looked at once more, and
      * read if it has changed since the last look.
      */
     private static synchronized void lookAgain(Gateway gateway) {
@@ -109,7 +109,7 @@
                 reload(gateway);
             }
         } catch (IOException e) {
-            LOG.warn("discovery does not answer, and the configuration cannot be looked at: {}", e.toString());
+            LOG.warn("discovery does not answer and the configuration can't be looked at: {}", e.toString());
         }
     }
 
--- a/src/main/java/dunlinladder/wire/engine/ReleaseCall.java
+++ b/src/main/java/dunlinladder/wire/engine/ReleaseCall.java
@@ -31,7 +31,7 @@
     }
 
     /**
-     * Asks one engine after another until one has answered. One that is silent may be behind a cut, and so may
+     * Asks one engine after another until one has answered. One that is silent may be behind a cut, as may
      * the next: from each silence on one more is asked beside, since what is held has to be let go in time.
      * All of it runs on the timer's thread.
      */
