Let mixed servers help jammed readers, and keep bar on all that cannot be reached

A mixed server takes a request when the wait by way of the readers is over 0.15 of the aim and its own is under half of that, while its streams keep pace (Paces: against the writers' mean of the class) or the first token would be late anyway; one whose streams lag gets no share. Two failures to connect in a row bar a server however many are barred, but for trials. The margin of zones is two average reads. Quotas, rates and paces are kept in classes of their own, as plain state.

--- a/src/main/java/dunlinladder/decision/Logic.java
+++ b/src/main/java/dunlinladder/decision/Logic.java
@@ -59,8 +59,9 @@
     private static final double KEPT_FOR = 30;
     /** Sessions and beginnings remembered; bounds memory. */
     private static final int KEPT_MOST = 20_000;
-    /** Reads by which a reader of another zone must be better; a crossing costs time and points. */
-    private static final double ZONE_MARGIN = 0.5;
+    /** Reads by which a reader of another zone must be better, the less the less is seen; it costs points. */
+    private static final double ZONE_MARGIN = 2;
+    private static final double ZONE_BLIND = 0.5;
     /** Times an even part of a role that a zone's own servers are taken for; zones' traffic is uneven. */
     private static final double ZONE_ROOM = 0.7;
     /** Reads that the cell's writers weigh at double the mean streams; keeps the pair near, yet balanced. */
@@ -72,6 +73,14 @@
     /** Streams of a mixed server, against the writers' mean, at which it has its share; it also reads. */
     private static final double MIXED_SHARE = 0.6;
 
+    /** Shares of the aim at which readers count as jammed, and as late anyway; the part that mixed must take. */
+    private static final double JAM_WAIT = 0.15;
+    private static final double JAM_LATE = 0.5;
+    private static final double JAM_LESS = 0.5;
+    /** Times the writers' mean stream that a mixed server's may last; past it what it reads slows them. */
+    private static final double PACE_MOST = 1.6;
+    /** Smoothing of that: about the last ten streams, as answers differ in length. */
+    private static final double PACE_SMOOTH = 0.1;
     /** Share of the aim that a server may take although another is quicker; past it, it is behind. */
     private static final double BEHIND = 0.3;
 
@@ -163,15 +172,13 @@
     private final Set<Job> waiting = new LinkedHashSet<>();
     private final KeptPrompts keeps = new KeptPrompts(KEPT_MOST, KEPT_FOR, SMOOTH);
     private final Shares beginnings = new Shares(BEGINNINGS_MOST, BEGINNINGS_PRIOR);
-    private final double[] quotaLeft;
-    private final double[] quotaAt;
+    private final Quotas quotas;
+    private final Paces paces = new Paces(SMOOTH_SLOW, PACE_SMOOTH, SAMPLE_FADE);
     private List<Action> actions = new ArrayList<>();
     private double now;
     private double comparedAt = Double.NaN;
     private boolean sweeping;
-    private final double[] served = new double[Role.values().length];
-    private final double[] servedAt = new double[Role.values().length];
-    private final double[] peak = new double[Role.values().length];
+    private final Served served;
     private final double[] medianLag = new double[Role.values().length];
     private final double[] totalWeight = new double[Role.values().length];
     private final double[] meanWait = new double[Role.values().length];
@@ -191,16 +198,14 @@
     private double meanHeld = 3000;
     private double repeats = REPEATS_MOST;
     private int followFailures;
-    private double firstServedAt = Double.POSITIVE_INFINITY;
 
     /** Creates a router's decisions; {@code seed} feeds its random numbers. */
     public Logic(Settings settings, long seed) {
         this.settings = settings;
         this.random = new Random(seed);
         blind = Math.max(0, 1 - FULL_SIGHT / settings.balancers());
-        quotaLeft = new double[settings.quotas().size()];
-        quotaAt = new double[settings.quotas().size()];
-        Arrays.fill(quotaLeft, Double.POSITIVE_INFINITY);   // cut to what may be saved at the first request
+        served = new Served(RATE_WINDOW, RATE_WINDOW * (1 + blind * (RATE_STRETCH - 1)), PEAK_FADE, blind > 0);
+        quotas = new Quotas(settings.quotas(), settings.balancers(), QUOTA_BURST, QUOTA_LEAST * blind);
     }
 
     // ---- Events ----
@@ -254,7 +259,7 @@
         meanOutput += (output(request, job.type) - meanOutput) * SMOOTH_SLOW;
         repeats = Math.min(REPEATS_MOST, repeats + REPEATS_EARNED);
         beginnings.count(request.prefix());
-        job.overShare = overShare(request.tenant());
+        job.overShare = quotas.overShare(request.tenant(), now);
         route(job);
     }
 
@@ -264,18 +269,6 @@
                 ? Math.min(request.hint() / type.tokenAim(), request.maxOut()) : request.maxOut();
     }
 
-    private boolean overShare(int tenant) {
-        if (tenant < 0 || tenant >= quotaLeft.length) {
-            return false;
-        }
-        double rate = settings.quotas().get(tenant) / settings.balancers();
-        double left = quotaLeft[tenant] + (now - quotaAt[tenant]) * rate;
-        quotaAt[tenant] = now;
-        left = Math.min(left, Math.max(rate * QUOTA_BURST, QUOTA_LEAST * blind));
-        quotaLeft[tenant] = left < 1 ? left : left - 1;
-        return left < 1;
-    }
-
     /** Takes a request's next step: a writer for a state that waits, else a reader; else it waits. */
     private void route(Job job) {
         if (job.ended || !job.out.isEmpty()) {
@@ -299,7 +292,8 @@
             Worker reader = settings.maxAttempts() - job.attempts < 2 ? null : pickReader(job);
             boolean whole = mixed != null
                     && (reader == null || mixedIsDue(job, mixed) && expectedWait(job, mixed)
-                            <= Math.max(BEHIND * job.aim(), expectedWait(job, reader)));
+                            <= Math.max(BEHIND * job.aim(), expectedWait(job, reader))
+                            || readersJam(job, reader, mixed));
             Worker chosen = whole ? mixed : reader;
             Worker known = stay(job);
             if (known != null && known != chosen && (chosen == null || expectedWait(job, known)
@@ -358,8 +352,8 @@
      * builds. What sits at suspects is no backlog. Too long after a sudden rise, so it is weighed down.
      */
     private double backlogWait() {
-        double rate = peak[Role.WRITE.ordinal()] + peak[Role.BOTH.ordinal()];
-        if (now - firstServedAt < 2 * RATE_WINDOW) {
+        double rate = served.peak(Role.WRITE) + served.peak(Role.BOTH);
+        if (now - served.firstAt() < 2 * RATE_WINDOW) {
             return 0;
         }
         int unstarted = 0;
@@ -469,7 +463,8 @@
     }
 
     private double zoneMargin(Worker w) {
-        return w.member.zone() == settings.zone() ? 0 : ZONE_MARGIN * (1 - blind);
+        double margin = blind > 0 ? ZONE_BLIND * (1 - blind) : ZONE_MARGIN;
+        return w.member.zone() == settings.zone() ? 0 : margin;
     }
 
     /** Thousands of prompt tokens waiting by a fresh report; a reader not heard of counts as average. */
@@ -523,10 +518,22 @@
      */
     private boolean mixedIsDue(Job job, Worker mixed) {
         double drawn = order(job.request.session(), 0) / 0x1p64 + 0.5;
-        return mixed.role == Role.BOTH && (Double.isNaN(meanWriters) || (blind > 0 ? meanMixed / (2 * drawn)
+        return mixed.role == Role.BOTH && paces.of(mixed, now) < PACE_MOST && (Double.isNaN(meanWriters) || (blind > 0 ? meanMixed / (2 * drawn)
                 : writerLoad(mixed)) < MIXED_SHARE * meanWriters);
     }
 
+    /**
+     * Whether a mixed server should take a request because the readers are behind and it is not. Its reads slow
+     * its streams, so only while these keep pace, or where the first token would be late anyway. Guards against
+     * refusals while mixed servers have room. Can harm when long prompts come in a row.
+     */
+    private boolean readersJam(Job job, Worker reader, Worker mixed) {
+        double there = knownLag(reader) * size(job, reader) + medianLag[Role.WRITE.ordinal()];
+        return blind == 0 && mixed.role == Role.BOTH && there > JAM_WAIT * job.aim()
+                && knownLag(mixed) * size(job, mixed) < there * JAM_LESS && memoryNow(mixed) < MEMORY_FREE
+                && (paces.of(mixed, now) < PACE_MOST || there > JAM_LATE * job.aim());
+    }
+
     // ---- Writer: after the read, fewest own streams, near the reader ----
 
     private Worker pickWriter(Job job) {
@@ -613,10 +620,13 @@
                 && job.request.fits().test(w.id) && repeatAllowed(job, w) && coldBudgetLeft(w)).toList();
         List<Worker> fit = open.stream().filter(w -> !suspect(w)
                 || w.pending.isEmpty() && now >= trialAt(job, w)).toList();
-        List<Worker> fresh = (open.size() - fit.size() > open.size() * MOST_BARRED ? open : fit).stream()
+        List<Worker> reached = open.stream().filter(w -> w.unreachedInRow < SUSPECT_FAILURES
+                || now >= trialAt(job, w)).toList();
+        List<Worker> most = reached.isEmpty() ? open : reached;
+        List<Worker> fresh = (open.size() - fit.size() > open.size() * MOST_BARRED ? most : fit).stream()
                 .filter(w -> !job.tried.contains(w)).toList();
         return !fresh.isEmpty() || job.tried.isEmpty() ? fresh
-                : open.stream().filter(w -> !suspect(w)).toList();
+                : most.stream().filter(w -> !suspect(w)).toList();
     }
 
     private Worker best(List<Worker> from, ToDoubleFunction<Worker> cost, ToDoubleFunction<Worker> tie,
@@ -740,6 +750,7 @@
         w.heard(event.report(), now);
         heardOf[w.role.ordinal()] = now;
         learnKept(attempt, event);
+        paces.learn(attempt, event.status(), now, blind == 0);
         judge(attempt, event);
         boolean mayHaveRun = attempt.stage != Stage.READ && !event.status().neverRan();
         if (mayHaveRun && job.ranAt == null) {
@@ -757,6 +768,7 @@
     /** What an outcome says of the server. */
     private void judge(Attempt attempt, Outcome event) {
         Worker w = attempt.worker;
+        w.unreachedInRow = event.status() == Status.CONNECT_FAILED ? w.unreachedInRow + 1 : 0;
         switch (event.status()) {
             case READ -> succeeded(w, event.elapsed() / attempt.size);
             case FULL -> {
@@ -831,7 +843,7 @@
 
     private void succeeded(Worker w, double delay) {
         w.failedInRow = 0;
-        countServed(w.role);
+        served.count(w.role, now);
         learnDelay(w, delay);
     }
 
@@ -962,20 +974,6 @@
         return isCold(w) ? from + (1 - from) * (now - w.member.startedAt()) / settings.rules().cold() : 1;
     }
 
-    /**
-     * Counts an answer of a role: reads done, or streams begun; the peak is what the role can do. Counted
-     * over long, a rate shows late after the start, when a cold budget needs it: so by the time seen.
-     */
-    private void countServed(Role role) {
-        int r = role.ordinal();
-        firstServedAt = Math.min(firstServedAt, now);
-        double window = RATE_WINDOW * (1 + blind * (RATE_STRETCH - 1));
-        served[r] = served[r] * Math.exp((servedAt[r] - now) / window) + 1 / window;
-        double seen = blind == 0 ? 1 : 1 - Math.exp(-Math.max(RATE_WINDOW, now - firstServedAt) / window);
-        peak[r] = Math.max(served[r] / seen, peak[r] * Math.exp((servedAt[r] - now) / PEAK_FADE));
-        servedAt[r] = now;
-    }
-
     /**
      * Rule 4: a cold server earns credit for sends, at its part of the most that this router has seen its
      * role serve (arrivals are multiplied by repeats), ramped; a window's worth, or one, may be saved. The
@@ -988,7 +986,7 @@
         }
         double window = settings.rules().tipAfter();
         double part = w.member.weight() / Math.max(w.member.weight(), totalWeight[w.role.ordinal()]);
-        double rate = peak[w.role.ordinal()] * part * ramp(w) * COLD_SHARE * settings.rules().fallMultiple();
+        double rate = served.peak(w.role) * part * ramp(w) * COLD_SHARE * settings.rules().fallMultiple();
         double credit = w.creditAt < w.member.startedAt() ? 1 - blind * random.nextDouble()
                 : w.credit + (now - w.creditAt) * rate;
         w.credit = Math.min(credit, Math.max(1, rate * window));
--- a/src/main/java/dunlinladder/decision/Worker.java
+++ b/src/main/java/dunlinladder/decision/Worker.java
@@ -31,11 +31,16 @@
     /** Part found kept of beginnings that this router had sent here, and of others; from 0 to 1. */
     double foundSent = 1;
     double foundOther = 1;
+    /** How long its streams last against the usual, at {@code pacedAt}; see {@link Paces}. */
+    double pace = 1;
+    double pacedAt;
     /** Streams sent here that the latest report may not show yet. */
     final ArrayDeque<Attempt> sentSince = new ArrayDeque<>();
     double failures;
     double failuresAt;
     int failedInRow;
+    /** Attempts in a row that could not connect; that says nothing of the others, as being late may. */
+    int unreachedInRow;
     double nextTrialAt;
     double fullUntil;
     double memoryShare = Double.NaN;
@@ -63,6 +68,7 @@
         failures = 0;
         foundSent = 1;
         failedInRow = 0;
+        unreachedInRow = 0;
         fullUntil = 0;
         reportAt = Double.NEGATIVE_INFINITY;
     }
--- a/src/test/java/dunlinladder/decision/Fleet.java
+++ b/src/test/java/dunlinladder/decision/Fleet.java
@@ -180,6 +180,11 @@
         return latest.get(id);
     }
 
+    /** Where a request was sent last. */
+    String worker(String id) {
+        return latest.get(id).worker();
+    }
+
     Router.Send lastSend() {
         return sent.get(sent.size() - 1);
     }
--- a/src/test/java/dunlinladder/decision/LogicTest.java
+++ b/src/test/java/dunlinladder/decision/LogicTest.java
@@ -106,6 +106,68 @@
         assertFalse(full.equals(fleet.lastSend().worker()));
     }
 
+    /** While the readers are behind, a mixed server that is not takes requests, its share or not. */
+    @Test
+    void mixedServerHelpsJammedReaders() {
+        Fleet fleet = new Fleet().with("r0", 0, Role.READ).with("w0", 0, Role.WRITE).with("m0", 0, Role.BOTH)
+                .listed();
+        assertEquals("r0", fleet.arrive("a").worker());
+        fleet.run(0.4);
+        assertEquals("m0", fleet.arrive("b").worker());
+    }
+
+    /** What a mixed server reads slows its streams: once they last much longer than at writers it gets none. */
+    @Test
+    void mixedServerWhoseStreamsLagGetsNoMore() {
+        for (double lasting : new double[] {0.2, 2}) {
+            Fleet fleet = new Fleet().with("r0", 0, Role.READ).with("w0", 0, Role.WRITE)
+                    .with("m0", 0, Role.BOTH).listed();
+            int[] whole = new int[2];
+            for (int i = 0; i < 60; i++) {
+                String id = "a" + i;
+                boolean mixed = fleet.arrive(id).worker().equals("m0");
+                if (!mixed) {
+                    fleet.outcome(id, Status.READ);
+                }
+                fleet.first(id);
+                whole[i / 30] += mixed ? 1 : 0;
+                fleet.run(0.02);
+                if (i >= 9 && i % 10 == 9) {   // ten streams end together, those of the mixed server last
+                    for (int j = i - 9; j <= i; j++) {
+                        if (!fleet.worker("a" + j).equals("m0")) {
+                            fleet.outcome("a" + j, Status.OK);
+                        }
+                    }
+                    fleet.run(lasting - 0.2);
+                    for (int j = i - 9; j <= i; j++) {
+                        if (fleet.worker("a" + j).equals("m0")) {
+                            fleet.outcome("a" + j, Status.OK);
+                        }
+                    }
+                }
+            }
+            assertTrue(whole[0] > 0, "streams that last " + lasting);
+            assertEquals(lasting < 1, whole[1] > 0, "streams that last " + lasting + ", whole: " + whole[1]);
+        }
+    }
+
+    /** Of three readers two cannot be reached: that says nothing of the third, which gets all but trials. */
+    @Test
+    void unreachableServersStayBarredHoweverMany() {
+        Fleet fleet = new Fleet().with("r0", 0, Role.READ).with("r1", 0, Role.READ).with("r2", 0, Role.READ)
+                .with("w0", 0, Role.WRITE).listed();
+        int failed = 0;
+        for (int i = 0; i < 40; i++) {
+            fleet.arrive("a" + i);
+            while (!fleet.lastSend().worker().equals("r0") && fleet.finals("a" + i) == 0) {
+                fleet.outcome("a" + i, Status.CONNECT_FAILED);
+                failed++;
+            }
+            fleet.run(0.01);
+        }
+        assertTrue(failed <= 6, "failed to connect: " + failed);
+    }
+
     /** What was kept of an engine goes with it: it would grow with every engine that is replaced. */
     @Test
     void enginesThatLeftAreForgotten() throws Exception {
