--- a/src/main/java/dunlinladder/decision/Logic.java
+++ b/src/main/java/dunlinladder/decision/Logic.java
@@ -73,7 +73,7 @@
     /** Streams of a mixed server, against the writers' mean, at which it has its share; it also reads. */
     private static final double MIXED_SHARE = 0.6;
 
-    /** Shares of the aim at which readers count as jammed, and as late anyway; the part that mixed must take. */
+    /** Shares of the aim at which readers are jammed, and late anyway; the part that a mixed one may take. */
     private static final double JAM_WAIT = 0.15;
     private static final double JAM_LATE = 0.5;
     private static final double JAM_LESS = 0.5;
@@ -204,7 +204,8 @@
         this.settings = settings;
         this.random = new Random(seed);
         blind = Math.max(0, 1 - FULL_SIGHT / settings.balancers());
-        served = new Served(RATE_WINDOW, RATE_WINDOW * (1 + blind * (RATE_STRETCH - 1)), PEAK_FADE, blind > 0);
+        double window = RATE_WINDOW * (1 + blind * (RATE_STRETCH - 1));
+        served = new Served(RATE_WINDOW, window, PEAK_FADE, blind > 0);
         quotas = new Quotas(settings.quotas(), settings.balancers(), QUOTA_BURST, QUOTA_LEAST * blind);
     }
 
@@ -377,8 +378,8 @@
             return null;
         }
         if (blind == 0) {
-            double lowest = readers.stream().mapToDouble(w -> readCost(job, w)).min().orElse(0);
-            return inOrder(job, readers.stream().filter(w -> readCost(job, w) <= lowest + EVEN_READS).toList());
+            double even = EVEN_READS + readers.stream().mapToDouble(w -> readCost(job, w)).min().orElse(0);
+            return inOrder(job, readers.stream().filter(w -> readCost(job, w) <= even).toList());
         }
         double enough = KEPT_LEAST * job.request.promptTokens();
         boolean coldIsFree = blind > 0 && isCold(least);
@@ -395,8 +396,8 @@
     }
 
     /**
-     * What a read costs at a reader, in average reads: what is ahead there and, doubled, what would have to be
-     * read. A read of few missing tokens is not one of a long prompt. Harms while what is kept is not known.
+     * What a read costs, in average reads: what is ahead at the reader and, doubled, what it would have to
+     * read. A read of few missing tokens is not one of a long prompt. Harms while what is kept is unknown.
      */
     private double readCost(Job job, Worker w) {
         double missed = job.request.promptTokens() - kept(job, w);
@@ -518,14 +519,14 @@
      */
     private boolean mixedIsDue(Job job, Worker mixed) {
         double drawn = order(job.request.session(), 0) / 0x1p64 + 0.5;
-        return mixed.role == Role.BOTH && paces.of(mixed, now) < PACE_MOST && (Double.isNaN(meanWriters) || (blind > 0 ? meanMixed / (2 * drawn)
+        boolean keepsPace = mixed.role == Role.BOTH && paces.of(mixed, now) < PACE_MOST;
+        return keepsPace && (Double.isNaN(meanWriters) || (blind > 0 ? meanMixed / (2 * drawn)
                 : writerLoad(mixed)) < MIXED_SHARE * meanWriters);
     }
 
     /**
-     * Whether a mixed server should take a request because the readers are behind and it is not. Its reads slow
-     * its streams, so only while these keep pace, or where the first token would be late anyway. Guards against
-     * refusals while mixed servers have room. Can harm when long prompts come in a row.
+     * Whether a mixed server should help: the readers are behind and it is not. Its reads slow its streams:
+     * only while these keep pace, or past hope of the aim. Can harm when long prompts come in a row.
      */
     private boolean readersJam(Job job, Worker reader, Worker mixed) {
         double there = knownLag(reader) * size(job, reader) + medianLag[Role.WRITE.ordinal()];
@@ -599,11 +600,11 @@
         return (w.streamWeight + FAILURE_LOAD * failureCount(w) + blind) / w.speed - blind + full;
     }
 
-    /** Share of memory held: by the report and what was sent since. A full writer sends answers back to wait. */
+    /** Share of memory held, by report and what was sent since: a full writer sends answers back to wait. */
     private double memoryNow(Worker w) {
         w.sentSince.removeIf(a -> a.sentAt < w.reportAt - REPORT_DELAY || now - a.sentAt > REPORT_FOR);
-        double since = now - w.reportAt > REPORT_FOR ? 0 : w.sentSince.stream().mapToDouble(a -> a.held).sum();
-        return memoryShare(w) + (w.memory > 0 ? since / w.memory : 0);
+        double since = w.sentSince.stream().mapToDouble(a -> a.held).sum();
+        return memoryShare(w) + (w.memory > 0 && now - w.reportAt <= REPORT_FOR ? since / w.memory : 0);
     }
 
     /** Share of memory held: by a fresh report, else by this router's own streams and its part of all. */
@@ -1016,12 +1017,12 @@
                 w.forget();
             }
             if (w.member == null || member.startedAt() > w.member.startedAt()) {
-                w.foundOther = member.startedAt() > 0 ? 0 : 1;   // long at work it keeps what all send; new, nothing
+                w.foundOther = member.startedAt() > 0 ? 0 : 1;   // long at work it keeps what all send
             }
             w.member = member;
-            w.role = member.kind() < settings.roleByKind().size()
-                    ? settings.roleByKind().get(member.kind()) : Role.BOTH;
-            w.memory = member.kind() < settings.kvTokens().size() ? settings.kvTokens().get(member.kind()) : 0;
+            int kind = member.kind();
+            w.role = kind < settings.roleByKind().size() ? settings.roleByKind().get(kind) : Role.BOTH;
+            w.memory = kind < settings.kvTokens().size() ? settings.kvTokens().get(kind) : 0;
             w.open = member.lifecycle() == Lifecycle.ACTIVE;
         }
         if (event.scope() != Scope.CHANGES) {
--- a/src/test/java/dunlinladder/decision/Fleet.java
+++ b/src/test/java/dunlinladder/decision/Fleet.java
@@ -105,7 +105,8 @@
     String remembered() throws ReflectiveOperationException {
         StringBuilder sizes = new StringBuilder();
         Object keeps = field(router, "keeps");
-        for (Object map : List.of(field(router, "workers"), field(keeps, "sessions"), field(keeps, "prefixes"))) {
+        for (Object map : List.of(field(router, "workers"), field(keeps, "sessions"),
+                field(keeps, "prefixes"))) {
             sizes.append(' ').append(((Map<?, ?>) map).size());
         }
         return sizes.substring(1);
--- a/src/test/java/dunlinladder/decision/LogicTest.java
+++ b/src/test/java/dunlinladder/decision/LogicTest.java
@@ -53,7 +53,7 @@
         }
     }
 
-    /** Turns of sessions that a reader keeps cost next to nothing there, anywhere else a whole prompt each. */
+    /** Turns of sessions that a reader keeps cost next to nothing there, elsewhere a whole prompt each. */
     @Test
     void sessionsStayWithTheReaderThatKeepsTheirTurns() {
         Fleet fleet = pair();
@@ -69,7 +69,7 @@
         }
     }
 
-    /** Where a beginning was not found kept, its reads count as what they cost: the other reader takes some. */
+    /** Where a beginning was not found kept, its reads count as they cost: the other reader takes some. */
     @Test
     void whatIsNotFoundKeptIsNotCountedOn() {
         Fleet fleet = pair();
@@ -116,7 +116,7 @@
         assertEquals("m0", fleet.arrive("b").worker());
     }
 
-    /** What a mixed server reads slows its streams: once they last much longer than at writers it gets none. */
+    /** What a mixed server reads slows its streams: once they last much longer than others it gets none. */
     @Test
     void mixedServerWhoseStreamsLagGetsNoMore() {
         for (double lasting : new double[] {0.2, 2}) {
