--- a/src/main/java/dunlinladder/decision/Logic.java
+++ b/src/main/java/dunlinladder/decision/Logic.java
@@ -38,6 +38,14 @@
     /** A reader that keeps the prompt's beginning is "clearly busier" past this ratio and these reads. */
     private static final double KEPT_RATIO = 2;
     private static final double KEPT_READS = 3;
+    /** Times that a token weighs that must be read anew: reading it also pushes out what is kept. */
+    private static final double MISSED_WEIGHT = 2;
+    /** Part of an average read that each read costs whatever its length. */
+    private static final double READ_BASE = 0.5;
+    /** Average reads by which readers count as equal, so that all routers follow one order. */
+    private static final double EVEN_READS = 0.5;
+    /** Share of the aim up to which a session waits for the server that keeps its earlier turns. */
+    private static final double STAY_WAIT = 0.8;
     /** How many fewer reads where next to nothing is seen: own reads out are then rarely more than one. */
     private static final double KEPT_BLIND = 2;
     /** Readers for each that a beginning's share of the traffic needs; the rest is for uneven shares. */
@@ -51,8 +59,9 @@
     private static final double KEPT_FOR = 30;
     /** Sessions and beginnings remembered; bounds memory. */
     private static final int KEPT_MOST = 20_000;
-    /** Reads by which a reader of another zone must be better; a crossing costs time and points. */
-    private static final double ZONE_MARGIN = 0.5;
+    /** Reads by which a reader of another zone must be better, the less the less is seen; it costs points. */
+    private static final double ZONE_MARGIN = 2;
+    private static final double ZONE_BLIND = 0.5;
     /** Times an even part of a role that a zone's own servers are taken for; zones' traffic is uneven. */
     private static final double ZONE_ROOM = 0.7;
     /** Reads that the cell's writers weigh at double the mean streams; keeps the pair near, yet balanced. */
@@ -64,9 +73,23 @@
     /** Streams of a mixed server, against the writers' mean, at which it has its share; it also reads. */
     private static final double MIXED_SHARE = 0.6;
 
+    /** Shares of the aim at which readers count as jammed, and as late anyway; the part that mixed must take. */
+    private static final double JAM_WAIT = 0.15;
+    private static final double JAM_LATE = 0.5;
+    private static final double JAM_LESS = 0.5;
+    /** Times the writers' mean stream that a mixed server's may last; past it what it reads slows them. */
+    private static final double PACE_MOST = 1.6;
+    /** Smoothing of that: about the last ten streams, as answers differ in length. */
+    private static final double PACE_SMOOTH = 0.1;
     /** Share of the aim that a server may take although another is quicker; past it, it is behind. */
     private static final double BEHIND = 0.3;
 
+    /** Share of memory past which a writer fills up, and the streams that the rest of it weighs. */
+    private static final double MEMORY_FREE = 0.75;
+    private static final double MEMORY_WEIGHT = 10;
+    /** Seconds that a report may have been under way: what was sent since may not be in it. */
+    private static final double REPORT_DELAY = 0.4;
+
     /** "Clearly more": the cell's best writer against the zone's, as a ratio and in streams. */
     private static final double CLEAR_RATIO = 1.5;
     private static final double CLEAR_STREAMS = 2;
@@ -147,18 +170,15 @@
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Set<Job> waiting = new LinkedHashSet<>();
-    private final Map<Long, Kept> sessions = new Recent<>(KEPT_MOST);
-    private final Map<Long, Map<Worker, Double>> prefixes = new Recent<>(KEPT_MOST);
+    private final KeptPrompts keeps = new KeptPrompts(KEPT_MOST, KEPT_FOR, SMOOTH);
     private final Shares beginnings = new Shares(BEGINNINGS_MOST, BEGINNINGS_PRIOR);
-    private final double[] quotaLeft;
-    private final double[] quotaAt;
+    private final Quotas quotas;
+    private final Paces paces = new Paces(SMOOTH_SLOW, PACE_SMOOTH, SAMPLE_FADE);
     private List<Action> actions = new ArrayList<>();
     private double now;
     private double comparedAt = Double.NaN;
     private boolean sweeping;
-    private final double[] served = new double[Role.values().length];
-    private final double[] servedAt = new double[Role.values().length];
-    private final double[] peak = new double[Role.values().length];
+    private final Served served;
     private final double[] medianLag = new double[Role.values().length];
     private final double[] totalWeight = new double[Role.values().length];
     private final double[] meanWait = new double[Role.values().length];
@@ -175,20 +195,17 @@
     private double writerSpeeds;
     private double meanTokens = 1000;
     private double meanOutput = 100;
+    private double meanHeld = 3000;
     private double repeats = REPEATS_MOST;
     private int followFailures;
-    private double firstServedAt = Double.POSITIVE_INFINITY;
-
-    private record Kept(Worker worker, double tokens, double at) { }
 
     /** Creates a router's decisions; {@code seed} feeds its random numbers. */
     public Logic(Settings settings, long seed) {
         this.settings = settings;
         this.random = new Random(seed);
         blind = Math.max(0, 1 - FULL_SIGHT / settings.balancers());
-        quotaLeft = new double[settings.quotas().size()];
-        quotaAt = new double[settings.quotas().size()];
-        Arrays.fill(quotaLeft, Double.POSITIVE_INFINITY);   // cut to what may be saved at the first request
+        served = new Served(RATE_WINDOW, RATE_WINDOW * (1 + blind * (RATE_STRETCH - 1)), PEAK_FADE, blind > 0);
+        quotas = new Quotas(settings.quotas(), settings.balancers(), QUOTA_BURST, QUOTA_LEAST * blind);
     }
 
     // ---- Events ----
@@ -242,7 +259,7 @@
         meanOutput += (output(request, job.type) - meanOutput) * SMOOTH_SLOW;
         repeats = Math.min(REPEATS_MOST, repeats + REPEATS_EARNED);
         beginnings.count(request.prefix());
-        job.overShare = overShare(request.tenant());
+        job.overShare = quotas.overShare(request.tenant(), now);
         route(job);
     }
 
@@ -252,18 +269,6 @@
                 ? Math.min(request.hint() / type.tokenAim(), request.maxOut()) : request.maxOut();
     }
 
-    private boolean overShare(int tenant) {
-        if (tenant < 0 || tenant >= quotaLeft.length) {
-            return false;
-        }
-        double rate = settings.quotas().get(tenant) / settings.balancers();
-        double left = quotaLeft[tenant] + (now - quotaAt[tenant]) * rate;
-        quotaAt[tenant] = now;
-        left = Math.min(left, Math.max(rate * QUOTA_BURST, QUOTA_LEAST * blind));
-        quotaLeft[tenant] = left < 1 ? left : left - 1;
-        return left < 1;
-    }
-
     /** Takes a request's next step: a writer for a state that waits, else a reader; else it waits. */
     private void route(Job job) {
         if (job.ended || !job.out.isEmpty()) {
@@ -287,8 +292,15 @@
             Worker reader = settings.maxAttempts() - job.attempts < 2 ? null : pickReader(job);
             boolean whole = mixed != null
                     && (reader == null || mixedIsDue(job, mixed) && expectedWait(job, mixed)
-                            <= Math.max(BEHIND * job.aim(), expectedWait(job, reader)));
+                            <= Math.max(BEHIND * job.aim(), expectedWait(job, reader))
+                            || readersJam(job, reader, mixed));
             Worker chosen = whole ? mixed : reader;
+            Worker known = stay(job);
+            if (known != null && known != chosen && (chosen == null || expectedWait(job, known)
+                    <= Math.max(STAY_WAIT * job.aim(), expectedWait(job, chosen)))) {
+                chosen = known;
+                whole = known.role != Role.READ;
+            }
             if (chosen != null) {
                 if (!newsIsOld(chosen) && hopeless(job, expectedWait(job, chosen))) {
                     finish(job);
@@ -301,6 +313,16 @@
         waiting.add(job);
     }
 
+    /**
+     * The server that keeps the session's earlier turns. Guards against the jam in which turns read anew
+     * push out what others had kept. Can harm where one server gets the long sessions.
+     */
+    private Worker stay(Job job) {
+        Worker at = blind > 0 || settings.maxAttempts() - job.attempts < 2 ? null
+                : keeps.sessionAt(job.request.session(), now);
+        return at != null && usable(job, w -> w.role == at.role).contains(at) ? at : null;
+    }
+
     /**
      * Refuses a new request that would miss its aim, over-share ones sooner, and a repeat that is too late:
      * queues as long as the aim keep all late for good. Where the news is old it is tried all the same:
@@ -330,8 +352,8 @@
      * builds. What sits at suspects is no backlog. Too long after a sudden rise, so it is weighed down.
      */
     private double backlogWait() {
-        double rate = peak[Role.WRITE.ordinal()] + peak[Role.BOTH.ordinal()];
-        if (now - firstServedAt < 2 * RATE_WINDOW) {
+        double rate = served.peak(Role.WRITE) + served.peak(Role.BOTH);
+        if (now - served.firstAt() < 2 * RATE_WINDOW) {
             return 0;
         }
         int unstarted = 0;
@@ -354,6 +376,10 @@
         if (least == null) {
             return null;
         }
+        if (blind == 0) {
+            double lowest = readers.stream().mapToDouble(w -> readCost(job, w)).min().orElse(0);
+            return inOrder(job, readers.stream().filter(w -> readCost(job, w) <= lowest + EVEN_READS).toList());
+        }
         double enough = KEPT_LEAST * job.request.promptTokens();
         boolean coldIsFree = blind > 0 && isCold(least);
         double bound = readerLoad(least) * KEPT_RATIO + KEPT_READS - (coldIsFree ? 1 : blind) * KEPT_BLIND;
@@ -368,6 +394,17 @@
         return job.request.prefixTokens() >= enough ? inOrder(job, near) : least;
     }
 
+    /**
+     * What a read costs at a reader, in average reads: what is ahead there and, doubled, what would have to be
+     * read. A read of few missing tokens is not one of a long prompt. Harms while what is kept is not known.
+     */
+    private double readCost(Job job, Worker w) {
+        double missed = job.request.promptTokens() - kept(job, w);
+        double load = FAILURE_LOAD * failureCount(w) + READ_BASE * w.reads + (w.readTokens
+                + REPORT_WEIGHT * 1000 * reportedWait(w) + MISSED_WEIGHT * missed) / meanTokens;
+        return load / w.speed + CELL_WEIGHT * cellPressure(w) + zoneMargin(w);
+    }
+
     /**
      * Where own counts say little, the servers of this router's zone, but no more of the sessions than these
      * can take beside an even part of all; the rest goes by all zones. Guards against crossings, and against
@@ -426,7 +463,8 @@
     }
 
     private double zoneMargin(Worker w) {
-        return w.member.zone() == settings.zone() ? 0 : ZONE_MARGIN * (1 - blind);
+        double margin = blind > 0 ? ZONE_BLIND * (1 - blind) : ZONE_MARGIN;
+        return w.member.zone() == settings.zone() ? 0 : margin;
     }
 
     /** Thousands of prompt tokens waiting by a fresh report; a reader not heard of counts as average. */
@@ -446,22 +484,25 @@
 
     /** Prompt tokens that a server that reads probably still keeps. */
     private double kept(Job job, Worker w) {
-        Kept session = sessions.get(job.request.session());
-        if (session != null && session.worker == w && now - session.at < KEPT_FOR
-                && w.member.startedAt() < session.at) {
-            return Math.min(session.tokens, job.request.promptTokens());
+        if (keeps.sessionAt(job.request.session(), now) == w) {
+            return keeps.sessionTokens(job.request);
         }
-        Map<Worker, Double> readers = prefixes.get(job.request.prefix());
-        Double at = readers == null ? null : readers.get(w);
-        boolean believed = at != null && now - at < KEPT_FOR && w.member.startedAt() < at;
-        return believed || blind > 0 && !isCold(w) ? job.request.prefixTokens() : 0;
+        boolean sent = keeps.prefixSent(job.request.prefix(), w, now);
+        double part = blind == 0 ? sent ? w.foundSent : w.foundOther : sent || !isCold(w) ? 1 : 0;
+        return job.request.prefixTokens() * part;
     }
 
-    /** Noted at the send, so that the next request of the same beginning follows it. */
-    private void remember(Job job, Worker w) {
-        sessions.put(job.request.session(), new Kept(w, job.request.promptTokens(), now));
-        if (job.request.prefix() != 0) {
-            prefixes.computeIfAbsent(job.request.prefix(), p -> new LinkedHashMap<>()).put(w, now);
+    /** What was found kept corrects what is believed of the server and what the read should have taken. */
+    private void learnKept(Attempt attempt, Outcome event) {
+        boolean read = event.status() == Status.READ;
+        if (blind > 0 || !read && (event.status() != Status.OK || attempt.stage != Stage.WHOLE)) {
+            return;
+        }
+        keeps.learn(attempt, event.note());
+        if (read) {
+            double missed = Math.max(1, attempt.job.request.promptTokens() - event.note());
+            meanTokens += (missed - meanTokens) * SMOOTH_SLOW;
+            attempt.size = size(missed + attempt.ahead);
         }
     }
 
@@ -477,10 +518,22 @@
      */
     private boolean mixedIsDue(Job job, Worker mixed) {
         double drawn = order(job.request.session(), 0) / 0x1p64 + 0.5;
-        return mixed.role == Role.BOTH && (Double.isNaN(meanWriters) || (blind > 0 ? meanMixed / (2 * drawn)
+        return mixed.role == Role.BOTH && paces.of(mixed, now) < PACE_MOST && (Double.isNaN(meanWriters) || (blind > 0 ? meanMixed / (2 * drawn)
                 : writerLoad(mixed)) < MIXED_SHARE * meanWriters);
     }
 
+    /**
+     * Whether a mixed server should take a request because the readers are behind and it is not. Its reads slow
+     * its streams, so only while these keep pace, or where the first token would be late anyway. Guards against
+     * refusals while mixed servers have room. Can harm when long prompts come in a row.
+     */
+    private boolean readersJam(Job job, Worker reader, Worker mixed) {
+        double there = knownLag(reader) * size(job, reader) + medianLag[Role.WRITE.ordinal()];
+        return blind == 0 && mixed.role == Role.BOTH && there > JAM_WAIT * job.aim()
+                && knownLag(mixed) * size(job, mixed) < there * JAM_LESS && memoryNow(mixed) < MEMORY_FREE
+                && (paces.of(mixed, now) < PACE_MOST || there > JAM_LATE * job.aim());
+    }
+
     // ---- Writer: after the read, fewest own streams, near the reader ----
 
     private Worker pickWriter(Job job) {
@@ -542,14 +595,20 @@
     }
 
     private double writerLoad(Worker w) {
-        return (w.streamWeight + FAILURE_LOAD * failureCount(w) + blind) / w.speed - blind;
+        double full = blind > 0 ? 0 : MEMORY_WEIGHT * Math.max(0, memoryNow(w) - MEMORY_FREE);
+        return (w.streamWeight + FAILURE_LOAD * failureCount(w) + blind) / w.speed - blind + full;
+    }
+
+    /** Share of memory held: by the report and what was sent since. A full writer sends answers back to wait. */
+    private double memoryNow(Worker w) {
+        w.sentSince.removeIf(a -> a.sentAt < w.reportAt - REPORT_DELAY || now - a.sentAt > REPORT_FOR);
+        double since = now - w.reportAt > REPORT_FOR ? 0 : w.sentSince.stream().mapToDouble(a -> a.held).sum();
+        return memoryShare(w) + (w.memory > 0 ? since / w.memory : 0);
     }
 
     /** Share of memory held: by a fresh report, else by this router's own streams and its part of all. */
     private double memoryShare(Worker w) {
-        int kind = w.member.kind();
-        double memory = kind < settings.kvTokens().size() ? settings.kvTokens().get(kind) : 0;
-        double own = memory > 0 ? w.heldTokens * settings.balancers() / memory : 0;
+        double own = w.memory > 0 ? w.heldTokens * settings.balancers() / w.memory : 0;
         return now - w.reportAt <= REPORT_FOR && !Double.isNaN(w.memoryShare) ? w.memoryShare : own;
     }
 
@@ -561,10 +620,13 @@
                 && job.request.fits().test(w.id) && repeatAllowed(job, w) && coldBudgetLeft(w)).toList();
         List<Worker> fit = open.stream().filter(w -> !suspect(w)
                 || w.pending.isEmpty() && now >= trialAt(job, w)).toList();
-        List<Worker> fresh = (open.size() - fit.size() > open.size() * MOST_BARRED ? open : fit).stream()
+        List<Worker> reached = open.stream().filter(w -> w.unreachedInRow < SUSPECT_FAILURES
+                || now >= trialAt(job, w)).toList();
+        List<Worker> most = reached.isEmpty() ? open : reached;
+        List<Worker> fresh = (open.size() - fit.size() > open.size() * MOST_BARRED ? most : fit).stream()
                 .filter(w -> !job.tried.contains(w)).toList();
         return !fresh.isEmpty() || job.tried.isEmpty() ? fresh
-                : open.stream().filter(w -> !suspect(w)).toList();
+                : most.stream().filter(w -> !suspect(w)).toList();
     }
 
     private Worker best(List<Worker> from, ToDoubleFunction<Worker> cost, ToDoubleFunction<Worker> tie,
@@ -607,19 +669,24 @@
         if (stage != Stage.WRITE) {
             attempt.tokens = job.request.promptTokens() - kept(job, w);
             attempt.size = size(job, w);
-            meanTokens += (job.request.promptTokens() - meanTokens) * SMOOTH_SLOW;
+            if (blind > 0) {
+                meanTokens += (job.request.promptTokens() - meanTokens) * SMOOTH_SLOW;
+            }
+            keeps.note(attempt, now);
+            attempt.ahead = w.readTokens;
             w.readTokens += attempt.tokens;
             w.reads++;
             job.mayHold = true;
-            remember(job, w);
         }
         if (stage != Stage.READ) {
             double out = output(job.request, job.type);
-            attempt.weight = (1 + out / Math.max(1, meanOutput)) / 2;
             attempt.held = job.request.promptTokens() + out;
+            meanHeld += (attempt.held - meanHeld) * SMOOTH_SLOW;
+            attempt.weight = (1 + (blind > 0 ? out / Math.max(1, meanOutput) : attempt.held / meanHeld)) / 2;
             w.streams++;
             w.streamWeight += attempt.weight;
             w.heldTokens += attempt.held;
+            w.sentSince.addLast(attempt);
         }
         double timeout = timeout(job, w, attempt);
         w.nextTrialAt = now + trialWait(w);
@@ -632,7 +699,10 @@
 
     /** How much longer than usual a read should take: its own tokens and those ahead of it. */
     private double size(Job job, Worker w) {
-        double tokens = job.request.promptTokens() - kept(job, w) + w.readTokens;
+        return size(job.request.promptTokens() - kept(job, w) + w.readTokens);
+    }
+
+    private double size(double tokens) {
         return (1 + tokens / meanTokens) / 1.5;
     }
 
@@ -679,6 +749,8 @@
         attempt.endStream();
         w.heard(event.report(), now);
         heardOf[w.role.ordinal()] = now;
+        learnKept(attempt, event);
+        paces.learn(attempt, event.status(), now, blind == 0);
         judge(attempt, event);
         boolean mayHaveRun = attempt.stage != Stage.READ && !event.status().neverRan();
         if (mayHaveRun && job.ranAt == null) {
@@ -696,6 +768,7 @@
     /** What an outcome says of the server. */
     private void judge(Attempt attempt, Outcome event) {
         Worker w = attempt.worker;
+        w.unreachedInRow = event.status() == Status.CONNECT_FAILED ? w.unreachedInRow + 1 : 0;
         switch (event.status()) {
             case READ -> succeeded(w, event.elapsed() / attempt.size);
             case FULL -> {
@@ -770,7 +843,7 @@
 
     private void succeeded(Worker w, double delay) {
         w.failedInRow = 0;
-        countServed(w.role);
+        served.count(w.role, now);
         learnDelay(w, delay);
     }
 
@@ -901,20 +974,6 @@
         return isCold(w) ? from + (1 - from) * (now - w.member.startedAt()) / settings.rules().cold() : 1;
     }
 
-    /**
-     * Counts an answer of a role: reads done, or streams begun; the peak is what the role can do. Counted
-     * over long, a rate shows late after the start, when a cold budget needs it: so by the time seen.
-     */
-    private void countServed(Role role) {
-        int r = role.ordinal();
-        firstServedAt = Math.min(firstServedAt, now);
-        double window = RATE_WINDOW * (1 + blind * (RATE_STRETCH - 1));
-        served[r] = served[r] * Math.exp((servedAt[r] - now) / window) + 1 / window;
-        double seen = blind == 0 ? 1 : 1 - Math.exp(-Math.max(RATE_WINDOW, now - firstServedAt) / window);
-        peak[r] = Math.max(served[r] / seen, peak[r] * Math.exp((servedAt[r] - now) / PEAK_FADE));
-        servedAt[r] = now;
-    }
-
     /**
      * Rule 4: a cold server earns credit for sends, at its part of the most that this router has seen its
      * role serve (arrivals are multiplied by repeats), ramped; a window's worth, or one, may be saved. The
@@ -927,7 +986,7 @@
         }
         double window = settings.rules().tipAfter();
         double part = w.member.weight() / Math.max(w.member.weight(), totalWeight[w.role.ordinal()]);
-        double rate = peak[w.role.ordinal()] * part * ramp(w) * COLD_SHARE * settings.rules().fallMultiple();
+        double rate = served.peak(w.role) * part * ramp(w) * COLD_SHARE * settings.rules().fallMultiple();
         double credit = w.creditAt < w.member.startedAt() ? 1 - blind * random.nextDouble()
                 : w.credit + (now - w.creditAt) * rate;
         w.credit = Math.min(credit, Math.max(1, rate * window));
@@ -956,9 +1015,13 @@
             if (w.member != null && member.startedAt() > w.member.startedAt()) {
                 w.forget();
             }
+            if (w.member == null || member.startedAt() > w.member.startedAt()) {
+                w.foundOther = member.startedAt() > 0 ? 0 : 1;   // long at work it keeps what all send; new, nothing
+            }
             w.member = member;
             w.role = member.kind() < settings.roleByKind().size()
                     ? settings.roleByKind().get(member.kind()) : Role.BOTH;
+            w.memory = member.kind() < settings.kvTokens().size() ? settings.kvTokens().get(member.kind()) : 0;
             w.open = member.lifecycle() == Lifecycle.ACTIVE;
         }
         if (event.scope() != Scope.CHANGES) {
@@ -974,9 +1037,7 @@
     private void forget(Predicate<Worker> gone) {
         for (Worker w : workers.values().stream().filter(gone).toList()) {
             workers.remove(w.id);
-            sessions.values().removeIf(kept -> kept.worker == w);
-            prefixes.values().forEach(readers -> readers.remove(w));
-            prefixes.values().removeIf(Map::isEmpty);
+            keeps.forget(w);
         }
     }
 }
--- a/src/test/java/dunlinladder/decision/LogicTest.java
+++ b/src/test/java/dunlinladder/decision/LogicTest.java
@@ -8,7 +8,9 @@
 import dunlinladder.decision.Router.Group;
 import dunlinladder.decision.Router.Role;
 import dunlinladder.decision.Router.Status;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** The module on hand-made events: the ordinary path, the rules, each outcome at each stage. */
@@ -51,6 +53,121 @@
         }
     }
 
+    /** Turns of sessions that a reader keeps cost next to nothing there, anywhere else a whole prompt each. */
+    @Test
+    void sessionsStayWithTheReaderThatKeepsTheirTurns() {
+        Fleet fleet = pair();
+        List<Integer> kept = new ArrayList<>();
+        for (int i = 0; kept.size() < 7; i++) {
+            if (fleet.arrive("a" + i, i).worker().equals("r0")) {
+                kept.add(i);
+            }
+            fleet.serve("a" + i);
+        }
+        for (int session : kept) {
+            assertEquals("r0", fleet.arrive("b" + session, session).worker());
+        }
+    }
+
+    /** Where a beginning was not found kept, its reads count as what they cost: the other reader takes some. */
+    @Test
+    void whatIsNotFoundKeptIsNotCountedOn() {
+        Fleet fleet = pair();
+        for (int i = 0; i < 40; i++) {
+            fleet.shared("a" + i, 9);
+            fleet.serve("a" + i);
+        }
+        fleet.shared("b", 9);
+        String reader = fleet.lastSend().worker();
+        int same = 0;
+        for (int i = 0; i < 4; i++) {
+            fleet.shared("c" + i, 9);
+            same += fleet.lastSend().worker().equals(reader) ? 1 : 0;
+        }
+        assertTrue(same < 3, "at the same reader: " + same);
+    }
+
+    /** A writer whose memory is full sends answers back to its queue: one with a stream more is better. */
+    @Test
+    void fullWriterIsPassedOver() {
+        Fleet fleet = new Fleet().with("r0", 0, Role.READ).with("w0", 0, Role.WRITE).with("w1", 0, Role.WRITE)
+                .listed();
+        fleet.arrive("a");
+        fleet.outcome("a", Status.READ);
+        String full = fleet.lastSend().worker();
+        fleet.first("a");
+        fleet.arrive("b");
+        fleet.outcome("b", Status.READ);
+        assertFalse(full.equals(fleet.lastSend().worker()));
+        fleet.first("b");
+        fleet.reported("a", Status.OK, Map.of("x0", 0.97, "x1", 0.0));
+        fleet.arrive("c");
+        fleet.outcome("c", Status.READ);
+        assertFalse(full.equals(fleet.lastSend().worker()));
+    }
+
+    /** While the readers are behind, a mixed server that is not takes requests, its share or not. */
+    @Test
+    void mixedServerHelpsJammedReaders() {
+        Fleet fleet = new Fleet().with("r0", 0, Role.READ).with("w0", 0, Role.WRITE).with("m0", 0, Role.BOTH)
+                .listed();
+        assertEquals("r0", fleet.arrive("a").worker());
+        fleet.run(0.4);
+        assertEquals("m0", fleet.arrive("b").worker());
+    }
+
+    /** What a mixed server reads slows its streams: once they last much longer than at writers it gets none. */
+    @Test
+    void mixedServerWhoseStreamsLagGetsNoMore() {
+        for (double lasting : new double[] {0.2, 2}) {
+            Fleet fleet = new Fleet().with("r0", 0, Role.READ).with("w0", 0, Role.WRITE)
+                    .with("m0", 0, Role.BOTH).listed();
+            int[] whole = new int[2];
+            for (int i = 0; i < 60; i++) {
+                String id = "a" + i;
+                boolean mixed = fleet.arrive(id).worker().equals("m0");
+                if (!mixed) {
+                    fleet.outcome(id, Status.READ);
+                }
+                fleet.first(id);
+                whole[i / 30] += mixed ? 1 : 0;
+                fleet.run(0.02);
+                if (i >= 9 && i % 10 == 9) {   // ten streams end together, those of the mixed server last
+                    for (int j = i - 9; j <= i; j++) {
+                        if (!fleet.worker("a" + j).equals("m0")) {
+                            fleet.outcome("a" + j, Status.OK);
+                        }
+                    }
+                    fleet.run(lasting - 0.2);
+                    for (int j = i - 9; j <= i; j++) {
+                        if (fleet.worker("a" + j).equals("m0")) {
+                            fleet.outcome("a" + j, Status.OK);
+                        }
+                    }
+                }
+            }
+            assertTrue(whole[0] > 0, "streams that last " + lasting);
+            assertEquals(lasting < 1, whole[1] > 0, "streams that last " + lasting + ", whole: " + whole[1]);
+        }
+    }
+
+    /** Of three readers two cannot be reached: that says nothing of the third, which gets all but trials. */
+    @Test
+    void unreachableServersStayBarredHoweverMany() {
+        Fleet fleet = new Fleet().with("r0", 0, Role.READ).with("r1", 0, Role.READ).with("r2", 0, Role.READ)
+                .with("w0", 0, Role.WRITE).listed();
+        int failed = 0;
+        for (int i = 0; i < 40; i++) {
+            fleet.arrive("a" + i);
+            while (!fleet.lastSend().worker().equals("r0") && fleet.finals("a" + i) == 0) {
+                fleet.outcome("a" + i, Status.CONNECT_FAILED);
+                failed++;
+            }
+            fleet.run(0.01);
+        }
+        assertTrue(failed <= 6, "failed to connect: " + failed);
+    }
+
     /** What was kept of an engine goes with it: it would grow with every engine that is replaced. */
     @Test
     void enginesThatLeftAreForgotten() throws Exception {
