Bound what a server was sent lately: with many gateways it grew for ever

Cause, found on reading the change again: Worker.sentSince was pruned in Logic.memoryNow alone, which is asked only where few routers share the load; with over eight gateways each stream's attempt and request stayed for good. Change: pruned where it is added to, the sum in Worker; a condition that the change had made dead (blind > 0 in pickReader after its early return) goes.

--- a/src/main/java/dunlinladder/decision/Logic.java
+++ b/src/main/java/dunlinladder/decision/Logic.java
@@ -382,7 +382,7 @@
             return inOrder(job, readers.stream().filter(w -> readCost(job, w) <= even).toList());
         }
         double enough = KEPT_LEAST * job.request.promptTokens();
-        boolean coldIsFree = blind > 0 && isCold(least);
+        boolean coldIsFree = isCold(least);
         double bound = readerLoad(least) * KEPT_RATIO + KEPT_READS - (coldIsFree ? 1 : blind) * KEPT_BLIND;
         double wait = coldIsFree ? Math.max(BEHIND * job.aim(), knownLag(least) * size(job, least))
                 : Double.POSITIVE_INFINITY;
@@ -602,9 +602,9 @@
 
     /** Share of memory held, by report and what was sent since: a full writer sends answers back to wait. */
     private double memoryNow(Worker w) {
-        w.sentSince.removeIf(a -> a.sentAt < w.reportAt - REPORT_DELAY || now - a.sentAt > REPORT_FOR);
-        double since = w.sentSince.stream().mapToDouble(a -> a.held).sum();
-        return memoryShare(w) + (w.memory > 0 && now - w.reportAt <= REPORT_FOR ? since / w.memory : 0);
+        boolean fresh = w.memory > 0 && now - w.reportAt <= REPORT_FOR;
+        double from = Math.max(w.reportAt - REPORT_DELAY, now - REPORT_FOR);
+        return memoryShare(w) + (fresh ? w.heldSince(from) / w.memory : 0);
     }
 
     /** Share of memory held: by a fresh report, else by this router's own streams and its part of all. */
@@ -687,7 +687,7 @@
             w.streams++;
             w.streamWeight += attempt.weight;
             w.heldTokens += attempt.held;
-            w.sentSince.addLast(attempt);
+            w.sent(attempt, REPORT_FOR);
         }
         double timeout = timeout(job, w, attempt);
         w.nextTrialAt = now + trialWait(w);
--- a/src/main/java/dunlinladder/decision/Worker.java
+++ b/src/main/java/dunlinladder/decision/Worker.java
@@ -34,7 +34,7 @@
     /** How long its streams last against the usual, at {@code pacedAt}; see {@link Paces}. */
     double pace = 1;
     double pacedAt;
-    /** Streams sent here that the latest report may not show yet. */
+    /** Streams sent here lately, oldest first: the latest report may not show them yet. */
     final ArrayDeque<Attempt> sentSince = new ArrayDeque<>();
     double failures;
     double failuresAt;
@@ -62,6 +62,19 @@
         }
     }
 
+    /** Notes a stream sent here; what was sent over {@code keepFor} seconds before it is dropped. */
+    void sent(Attempt attempt, double keepFor) {
+        while (!sentSince.isEmpty() && attempt.sentAt - sentSince.getFirst().sentAt > keepFor) {
+            sentSince.removeFirst();
+        }
+        sentSince.addLast(attempt);
+    }
+
+    /** Tokens that streams sent here since then may hold. */
+    double heldSince(double from) {
+        return sentSince.stream().filter(a -> a.sentAt >= from).mapToDouble(a -> a.held).sum();
+    }
+
     /** A new process under the same id: what was known of the old one says nothing of it. */
     void forget() {
         delay = Double.NaN;
--- a/src/test/java/dunlinladder/decision/LogicTest.java
+++ b/src/test/java/dunlinladder/decision/LogicTest.java
@@ -168,6 +168,16 @@
         assertTrue(failed <= 6, "failed to connect: " + failed);
     }
 
+    /** What was sent lately is dropped as more is sent, whether or not anybody asks for it. */
+    @Test
+    void whatWasSentLatelyIsBounded() {
+        Worker writer = new Worker("w0");
+        for (int i = 0; i < 100; i++) {
+            writer.sent(new Attempt(null, i, writer, Attempt.Stage.WRITE, i), 3);
+        }
+        assertEquals(4, writer.sentSince.size());
+    }
+
     /** What was kept of an engine goes with it: it would grow with every engine that is replaced. */
     @Test
     void enginesThatLeftAreForgotten() throws Exception {
