--- /dev/null
+++ b/src/test/java/dunlinladder/decision/FleetRulesTest.java
@@ -0,0 +1,65 @@
+package dunlinladder.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dunlinladder.decision.Router.Effect;
+import dunlinladder.decision.Router.Group;
+import dunlinladder.decision.Router.Role;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The rules, kept by fleets of gateways in virtual time. */
+class FleetRulesTest {
+
+    private static Router.Settings settings(int gateways, double aim, double stop, double multiple,
+            double tip, double cold, double from, double release) {
+        return new Router.Settings(gateways, 0, List.of(
+                new Router.ServiceClass(aim, 0.05, 0.05, 0.06, Effect.SAFE, Group.ALL, 5, 1, 0.2),
+                new Router.ServiceClass(2 * aim, 0.05, 0.05, 0.06, Effect.UNSAFE, Group.ALL, 5, 3, 0.3)),
+                List.of(1e9), List.of(Role.READ, Role.WRITE, Role.BOTH), List.of(2e5, 2e5, 2e5), 5, false,
+                true, 2, false, new Router.Rules(0.01, stop, multiple, tip, cold, from, release));
+    }
+
+    /** Either deployment's figures at each size of fleet, at half and nearly all that readers can do. */
+    @ParameterizedTest
+    @CsvSource({"3, 1.2, 0.5, 3, 1.5, 12, 0.29, 4.5", "14, 1.2, 0.5, 3, 1.5, 12, 0.29, 4.5",
+        "100, 1.2, 0.5, 3, 1.5, 12, 0.29, 4.5", "3, 0.8, 1, 4, 1.5, 14, 0.26, 2",
+        "14, 0.8, 1, 4, 1.5, 14, 0.26, 2", "100, 0.8, 1, 4, 1.5, 14, 0.26, 2"})
+    void bothDeploymentsAtEachSize(int gateways, double aim, double stop, double multiple, double tip,
+            double cold, double from, double late) {
+        for (double load : new double[] {0.5, 0.9}) {
+            VirtualFleet fleet = new VirtualFleet(new VirtualFleet.Figures(settings(gateways, aim, stop,
+                    multiple, tip, cold, from, 0.5), new int[] {6, 7, 2}, load * 6 / (0.1 * 1.4), 0.1, 2,
+                    32, 0.01, late, 4), gateways).play(40);
+            assertEquals(List.of(), fleet.broken.subList(0, Math.min(5, fleet.broken.size())));
+            assertTrue(fleet.served > (load < 0.6 ? 0.9 : 0.5) * fleet.requests,
+                    fleet.served + " of " + fleet.requests);
+        }
+    }
+
+    /** Whatever the settings say within the protocol's bounds; how much is served is not asked. */
+    @Property(tries = 60, seed = "20", shrinking = ShrinkingMode.OFF)
+    void whateverTheSettings(@ForAll @IntRange(min = 1, max = 40) int gateways,
+            @ForAll @DoubleRange(min = 0.2, max = 5) double aim,
+            @ForAll @DoubleRange(min = 0.3, max = 2) double stop,
+            @ForAll @DoubleRange(min = 0.2, max = 1) double release,
+            @ForAll @DoubleRange(min = 0.05, max = 1) double from,
+            @ForAll @DoubleRange(min = 2, max = 40) double cold,
+            @ForAll @IntRange(min = 0, max = 5) int readers, @ForAll @IntRange(min = 0, max = 5) int writers,
+            @ForAll @IntRange(min = 1, max = 4) int mixed,
+            @ForAll @DoubleRange(min = 0.1, max = 3) double load,
+            @ForAll @DoubleRange(min = 0, max = 0.3) double faults, @ForAll long seed) {
+        double rate = Math.min(150, load * (readers + mixed) / 0.14);
+        VirtualFleet fleet = new VirtualFleet(new VirtualFleet.Figures(settings(gateways, aim, stop, 1e9,
+                1.5, cold, from, release), new int[] {readers, writers, mixed}, rate, 0.1, 1.5, 16, faults,
+                3, 3), seed).play(15);
+        assertEquals(List.of(), fleet.broken.subList(0, Math.min(5, fleet.broken.size())));
+    }
+}
