--- a/src/main/java/dunlinladder/wire/ClientConnection.java
+++ b/src/main/java/dunlinladder/wire/ClientConnection.java
@@ -1,10 +1,10 @@
 package dunlinladder.wire;
 
 import dunlinladder.core.Limits;
+import dunlinladder.core.Seconds;
 import java.io.IOException;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectionKey;
-import java.util.Locale;
 import org.apache.hc.core5.function.Supplier;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
@@ -108,7 +108,7 @@
             refusing = true;
             HttpResponse refusal = new BasicHttpResponse(503);
             refusal.setHeader("Connection", "close");
-            refusal.setHeader("Retry-After", String.format(Locale.ROOT, "%.3f", limits.retryAfterSeconds()));
+            refusal.setHeader("Retry-After", Seconds.text(limits.retryAfterSeconds()));
             return new ImmediateResponseExchangeHandler(refusal, "one request at a time\n");
         }
         ServerExchange exchange = exchanges.get();
--- a/src/main/java/dunlinladder/wire/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/wire/engine/EngineCall.java
@@ -8,13 +8,13 @@
 import dunlinladder.core.Limits;
 import dunlinladder.core.Outcome;
 import dunlinladder.core.Outcome.Ending;
+import dunlinladder.core.Seconds;
 import dunlinladder.wire.BadInput;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -162,8 +162,7 @@
         BasicHttpRequest request = new BasicHttpRequest(forward.method(), forward.target());
         request.setAuthority(Connections.authority(attempt.engine()));
         request.setHeader("X-Request-ID", attempt.request().id());
-        request.setHeader("X-Timeout", String.format(Locale.ROOT, "%.3f",
-                Math.max(0.001, attempt.until() - clock.now())));
+        request.setHeader("X-Timeout", Seconds.text(Math.max(0.001, attempt.until() - clock.now())));
         boolean empty = !body.hasRemaining();
         if (empty) {
             sent();
--- a/src/main/java/dunlinladder/wire/platform/PlatformExchange.java
+++ b/src/main/java/dunlinladder/wire/platform/PlatformExchange.java
@@ -4,11 +4,11 @@
 import dunlinladder.core.Clock;
 import dunlinladder.core.Dispatcher;
 import dunlinladder.core.Limits;
+import dunlinladder.core.Seconds;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.ServerExchange;
 import dunlinladder.wire.engine.Forward;
 import java.nio.ByteBuffer;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -91,7 +91,7 @@
     public void refuse(double retryAfter) {
         double advice = retryAfter > 0 ? retryAfter : shared.limits.retryAfterSeconds();
         answer(503, TEXT, "refused: trying again is harmless\n",
-                Map.of("Retry-After", String.format(Locale.ROOT, "%.3f", advice)));
+                Map.of("Retry-After", Seconds.text(advice)));
     }
 
     @Override
