--- a/src/test/java/dunlinladder/it/RulesTest.java
+++ b/src/test/java/dunlinladder/it/RulesTest.java
@@ -95,6 +95,27 @@
         assertEquals(1, running.atWriters("POST", "cut"));
     }
 
+    /** Who asks for the rest of a broken stream is served anew, also where a request must not run twice. */
+    @ParameterizedTest
+    @ValueSource(strings = {"lookup", "listing"})
+    void aClientComesAgainForTheRest(String type) throws Exception {
+        try (Browser browser = running.post(id, type, "5.0", "cut later")) {
+            assertTrue(browser.head());
+            running.writers.forEach(w -> w.firstSeen = true);
+            assertTrue(browser.body().endsWith("(cut)"));
+        }
+        String again = Running.freshId();
+        try (Browser browser = new Browser(running.port).send("POST", "/v1/chat/completions",
+                Running.headers(again, type, "5.0") + "X-Retried: again\r\n", "the rest")) {
+            assertTrue(browser.head());
+            assertEquals(200, browser.status);
+            assertTrue(browser.body().endsWith("data: [DONE]\n\n"));
+        }
+        assertEquals(List.of(again), running.reader.seen.stream().filter(s -> s.body().equals("the rest"))
+                .map(s -> s.headers().get("X-Request-ID")).toList());
+        assertEquals(1, running.atWriters("POST", "the rest"));
+    }
+
     /** A stream spoilt after its first event ends its client's connection long before any deadline. */
     @ParameterizedTest
     @ValueSource(strings = {"spoilt size", "spoilt huge", "spoilt fit", "spoilt silence"})
--- a/src/test/java/dunlinladder/it/Running.java
+++ b/src/test/java/dunlinladder/it/Running.java
@@ -31,11 +31,13 @@
             "rules":{"answer-slack":0.008,"cold":14.0,"cold-from":0.26,"fall-multiple":4.0,
             "stop-sending-within":1.0,"tip-after":1.5}}""";
 
-    final StandIn reader = new StandIn("reader");
-    final List<StandIn> writers = List.of(new StandIn("writer"), new StandIn("writer"));
+    final StandIn reader;
+    final List<StandIn> writers;
     /** Further engines and their kinds. */
     private final Map<StandIn, String> more;
-    final StandIn discovery = new StandIn("discovery");
+    final StandIn discovery;
+    /** Whose stand-ins these are; null where they are its own. */
+    private final Running first;
     /** What the program has logged since it listens. */
     final List<String> lines = new CopyOnWriteArrayList<>();
     final Process process;
@@ -48,7 +50,21 @@
     }
 
     Running(Map<String, String> environment, Path state, Map<StandIn, String> more) throws IOException {
+        this(environment, state, more, null);
+    }
+
+    /** One more gateway of the same deployment, before the same engines. */
+    Running beside() throws IOException {
+        return new Running(Map.of(), null, more, this);
+    }
+
+    private Running(Map<String, String> environment, Path state, Map<StandIn, String> more, Running first)
+            throws IOException {
         this.more = more;
+        this.first = first;
+        reader = first == null ? new StandIn("reader") : first.reader;
+        writers = first == null ? List.of(new StandIn("writer"), new StandIn("writer")) : first.writers;
+        discovery = first == null ? new StandIn("discovery") : first.discovery;
         config = Files.createTempFile("gateway", ".json");
         configure(discovery.address(), SETTINGS);
         ProcessBuilder builder = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin",
@@ -127,6 +143,9 @@
     @Override
     public void close() throws IOException {
         process.destroyForcibly();
+        if (first != null) {
+            return;
+        }
         for (StandIn each : List.of(reader, writers.get(0), writers.get(1), discovery)) {
             each.close();
         }
--- a/src/test/java/dunlinladder/it/StandIn.java
+++ b/src/test/java/dunlinladder/it/StandIn.java
@@ -23,7 +23,7 @@
 final class StandIn implements AutoCloseable {
 
     /** One request as it came. */
-    record Seen(String method, String target, Map<String, String> headers, String body) { }
+    record Seen(String method, String target, Map<String, String> headers, String body, long at) { }
 
     final List<Seen> seen = new CopyOnWriteArrayList<>();
     /** How many exchanges found their gateway's side closed. */
@@ -100,7 +100,7 @@
                     return;
                 }
                 fresh = false;
-                seen.add(new Seen(words[0], words[1], headers, body));
+                seen.add(new Seen(words[0], words[1], headers, body, System.nanoTime()));
                 if (role.equals("discovery")) {
                     watch(out, Long.parseLong(words[1].replaceAll(".*since=", "")));
                 } else if (words[0].equals("DELETE")) {
