--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -1,6 +1,5 @@
 package dunlinladder.core;
 
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
@@ -218,7 +217,7 @@
                     + "seconds={}", request.id(), request.serviceClass(), attempt.number(), engine.id(),
                     !attempt.effect(),
                     engine.startedAt() > 0 ? (long) (endedAt - engine.startedAt()) : "long",
-                    outcome.ending(), String.format(Locale.ROOT, "%.3f", endedAt - sentAt));
+                    outcome.ending(), Seconds.text(endedAt - sentAt));
         }
         boolean ok = outcome.ending() == Outcome.Ending.OK;
         boolean rejected = outcome.ending() == Outcome.Ending.REJECTED;
--- a/src/main/java/dunlinladder/core/Seconds.java
+++ b/src/main/java/dunlinladder/core/Seconds.java
@@ -1,6 +1,6 @@
 package dunlinladder.core;
 
-/** Times as headers state them. */
+/** Times as headers and the log state them. */
 public final class Seconds {
 
     private Seconds() {
--- a/src/main/java/dunlinladder/core/Trail.java
+++ b/src/main/java/dunlinladder/core/Trail.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 
 /**
  * What is certain of one request's attempts, as facts of the moment at which each was sent and of how it
@@ -66,10 +65,9 @@
         for (Entry entry : entries) {
             text.append(text.length() > 1 ? "; " : "").append(entry.attempt.number()).append(" at ")
                     .append(entry.attempt.engine().id()).append(entry.attempt.effect() ? "" : " reads")
-                    .append(String.format(Locale.ROOT, " %.3f-%.3f ",
-                            entry.sentAt - entries.get(0).sentAt,
-                            Math.max(entry.sentAt, entry.endedAt) - entries.get(0).sentAt))
-                    .append(entry.outcome == null ? "out" : entry.outcome.ending());
+                    .append(' ').append(Seconds.text(entry.sentAt - entries.get(0).sentAt)).append('-')
+                    .append(Seconds.text(Math.max(entry.sentAt, entry.endedAt) - entries.get(0).sentAt))
+                    .append(' ').append(entry.outcome == null ? "out" : entry.outcome.ending());
         }
         return text.append(']').toString();
     }
--- a/src/main/java/dunlinladder/decision/Decisions.java
+++ b/src/main/java/dunlinladder/decision/Decisions.java
@@ -6,11 +6,11 @@
 import dunlinladder.core.Engine;
 import dunlinladder.core.Outcome;
 import dunlinladder.core.Request;
+import dunlinladder.core.Seconds;
 import dunlinladder.core.Step;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -149,7 +149,7 @@
             }
             if (waited > 0 && clock.now() - toldAt > TELL_EVERY) {
                 LOG.warn("event=behind waited={} given_up={} lag={}", waited, givenUp,
-                        String.format(Locale.ROOT, "%.3f", longestLag));
+                        Seconds.text(longestLag));
                 toldAt = clock.now();
                 waited = 0;
                 givenUp = 0;
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -43,7 +43,6 @@
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
             task -> daemon(task, "timer"));
     private final EngineClient client;
-    private final Pulse pulse;
     private final Decisions decisions;
     private final Dispatcher dispatcher;
     private final Server server;
@@ -66,7 +65,7 @@
         Connections connections = new Connections(limits, timer);
         Gate gate = new Gate(engines, clock, limits.gateSeconds());
         client = new EngineClient(connections, engines, gate, clock, limits, timer);
-        pulse = new Pulse(connections);
+        Pulse pulse = new Pulse(connections);
         decisions = new Decisions(config.settings(), config.seed(), clock, client::release, pulse::lag,
                 limits.lagSeconds());
         timer.scheduleWithFixedDelay(() -> {
--- a/src/main/java/dunlinladder/wire/engine/Connections.java
+++ b/src/main/java/dunlinladder/wire/engine/Connections.java
@@ -57,6 +57,7 @@
     private final HttpAsyncRequester requester;
     private final StrictConnPool<HttpHost, IOSession> pool;
     private final Limits limits;
+    private final Timeout connectTimeout;
     private final ScheduledExecutorService timer;
     private volatile long distrustedAt;
     /** Nanoseconds since this was made at which each address last left a connection fit for reuse. */
@@ -69,6 +70,7 @@
     /** Starts the requester. */
     public Connections(Limits limits, ScheduledExecutorService timer) {
         this.limits = limits;
+        this.connectTimeout = Timeout.ofMilliseconds((long) (limits.connectSeconds() * 1000));
         this.timer = timer;
         this.distrustedAt = System.nanoTime() - (long) (limits.distrustSeconds() * 1e9) - 1;
         this.config = HeadParser.config(limits);
@@ -107,8 +109,7 @@
     /** Opens a connection beside the pool; its events run on the thread that hears the engines. */
     void open(String address, IOEventHandler handler) throws IOException {
         try {
-            requester.requestSession(host(address), Timeout.ofMilliseconds((long) (limits.connectSeconds()
-                    * 1000)), handler, null).get();
+            requester.requestSession(host(address), connectTimeout, handler, null).get();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted before a connection to " + address, e);
@@ -126,7 +127,7 @@
             waiting.notConnected();
             return;
         }
-        pool.lease(host, null, Timeout.ofMilliseconds((long) (limits.connectSeconds() * 1000)),
+        pool.lease(host, null, connectTimeout,
                 new Done<PoolEntry<HttpHost, IOSession>>(waiting) {
                     @Override
                     public void completed(PoolEntry<HttpHost, IOSession> entry) {
@@ -142,7 +143,7 @@
             return;
         }
         entry.discardConnection(CloseMode.IMMEDIATE);
-        requester.requestSession(host, Timeout.ofMilliseconds((long) (limits.connectSeconds() * 1000)), null,
+        requester.requestSession(host, connectTimeout, null,
                 new Done<IOSession>(waiting) {
                     @Override
                     public void completed(IOSession session) {
