Read lists however they are laid out, and keep one clock for a watch's silence

Looked at: Watch read line by line, so an indented list was not JSON, the whole list was asked for and came indented again; no drain could be heard. Following waited up to 3.75 s of silence and then 3 s for one lost call, 6.75 s in all, and after 3 s gave a call up and paused with none open, so that a discovery that returns in that pause found nobody waiting.

FollowingTest.nothingIsLostWhateverTheLinksDo held that a link is open at the end also where the last thing drawn was an end; it now lets the longest pause pass first, as strict about what follows.

--- a/src/main/java/dunlinladder/membership/Following.java
+++ b/src/main/java/dunlinladder/membership/Following.java
@@ -15,6 +15,10 @@
  *     been heard.
  * <li>An address that hangs: a second link is tried beside one whose connection does not come up, the first
  *     to answer stays. One that is connected waits for its turn: a second call would lengthen the queue.
+ *     Where an older link has fallen silent, or was left behind by a move, news may be missed meanwhile:
+ *     there a call that is not answered soon gets another one beside it.
+ * <li>An outage: a call that was not answered in time stays open until the next one is opened, so that what
+ *     discovery says at its return finds a call that waits for it.
  * <li>Discovery that is overbooked, and all gateways that start at once and ask again in step: there is one
  *     call at a time, and pauses are drawn from a range that doubles with each call in a row that was not
  *     answered (capped exponential backoff with full jitter).
@@ -51,30 +55,35 @@
      * @param patience seconds of silence, once it has answered, after which another link is tried
      * @param spoken   whether a line or a beat has come
      * @param behindAt clock time since which its lists are older than what is held, NaN where they are not
+     * @param overdue  whether it was not answered in time; it ends when the next one is opened
      */
     public record Link(int id, String address, long asked, boolean up, boolean answered, double at,
-            double patience, boolean spoken, double behindAt) {
+            double patience, boolean spoken, double behindAt, boolean overdue) {
 
         private Link connected() {
-            return new Link(id, address, asked, true, answered, at, patience, spoken, behindAt);
+            return new Link(id, address, asked, true, answered, at, patience, spoken, behindAt, overdue);
         }
 
         private Link heard(double now, boolean line) {
-            return new Link(id, address, asked, true, true, now, patience, spoken || line, behindAt);
+            return new Link(id, address, asked, true, true, now, patience, spoken || line, behindAt, false);
         }
 
         private Link behind(double now) {
             return new Link(id, address, asked, up, answered, at, patience, spoken,
-                    Double.isNaN(behindAt) ? now : behindAt);
+                    Double.isNaN(behindAt) ? now : behindAt, overdue);
         }
 
         private Link level() {
-            return new Link(id, address, asked, up, answered, at, patience, spoken, Double.NaN);
+            return new Link(id, address, asked, up, answered, at, patience, spoken, Double.NaN, overdue);
+        }
+
+        private Link late() {
+            return new Link(id, address, asked, up, answered, at, patience, spoken, behindAt, true);
         }
 
         /** Clock time at which it is given up unless it has answered. */
         private double until(Timing timing) {
-            return answered ? Double.POSITIVE_INFINITY
+            return answered || overdue ? Double.POSITIVE_INFINITY
                     : at + (up ? timing.answerSeconds() : timing.openSeconds());
         }
     }
@@ -173,19 +182,21 @@
     }
 
     /**
-     * When another link to the current address is wanted: after a pause where there is none, beside one whose
-     * connection does not come up, and beside one that has fallen silent.
+     * When another link to the current address is wanted: after a pause where there is none that could still
+     * be answered in time, beside one whose connection does not come up, beside one that has fallen silent,
+     * and beside a call that waits while an older link has fallen silent or is left behind.
      */
     private static double openAt(List<Link> links, String address, Timing timing, double retryAt) {
         double heard = Double.NEGATIVE_INFINITY;
         double opened = Double.NEGATIVE_INFINITY;
         int count = 0;
+        boolean missing = links.stream().anyMatch(link -> link.answered);
         for (Link link : links) {
-            if (link.address.equals(address)) {
+            if (link.address.equals(address) && !link.overdue) {
                 count++;
                 heard = link.answered ? Math.max(heard, link.at + link.patience) : heard;
-                opened = link.answered ? opened : link.up ? Double.POSITIVE_INFINITY
-                        : Math.max(opened, link.at + timing.raceSeconds());
+                opened = link.answered ? opened : Math.max(opened, !link.up ? link.at + timing.raceSeconds()
+                        : missing ? link.at + timing.turnSeconds() : Double.POSITIVE_INFINITY);
             }
         }
         return count >= timing.links() ? Double.POSITIVE_INFINITY
@@ -312,9 +323,11 @@
             Link link = find(id);
             if (link != null) {
                 links.remove(link);
-                // What ends for one gateway ends for all of them: even one that had spoken waits by chance.
-                failed += link.spoken ? 0 : 1;
-                pause();
+                if (!link.overdue) {
+                    // What ends for one gateway ends for all: even one that had spoken waits by chance.
+                    failed += link.spoken ? 0 : 1;
+                    pause();
+                }
             }
         }
 
@@ -325,7 +338,11 @@
             }
             for (Link link : List.copyOf(links)) {
                 if (now >= link.until(timing)) {
-                    close(other -> other.id == link.id);
+                    if (link.up) {
+                        replace(link.late());
+                    } else {
+                        close(other -> other.id == link.id);
+                    }
                     failed++;
                     pause();
                 } else if (now - link.behindAt >= timing.epochSeconds()) {
@@ -339,8 +356,9 @@
         }
 
         private void open() {
+            close(other -> other.overdue && current(other));
             Link link = new Link(nextId++, address, whole ? 0 : version, false, false, now,
-                    timing.silenceSeconds() * (1 + draw() / 2), false, Double.NaN);
+                    timing.silenceSeconds() + draw() * timing.spreadSeconds(), false, Double.NaN, false);
             links.add(link);
             commands.add(new Command.Open(link.id, link.address, link.asked));
         }
--- a/src/main/java/dunlinladder/wire/Json.java
+++ b/src/main/java/dunlinladder/wire/Json.java
@@ -3,11 +3,16 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import java.io.FilterInputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -44,6 +49,50 @@
         }
     }
 
+    /** What a stream of objects holds, one after the other, whether on a line each or indented over many. */
+    public static final class Values {
+        private final JsonParser parser;
+
+        /** Creates a reader of UTF-8 text; {@code blank} hears of each piece that held white space alone. */
+        public Values(InputStream in, Runnable blank) throws IOException {
+            // By way of a reader: told the encoding, the parser does not wait for four bytes to guess it.
+            parser = FACTORY.createParser(new InputStreamReader(new Blanks(in, blank),
+                    StandardCharsets.UTF_8));
+        }
+
+        /** The next object once all of it has come, null at the end. */
+        public Json next() throws IOException {
+            try {
+                JsonToken token = parser.nextToken();
+                if (token != null && token != JsonToken.START_OBJECT) {
+                    throw new BadInput("not a JSON object: " + token);
+                }
+                return token == null ? null : new Json("list", object(parser));
+            } catch (JsonProcessingException e) {
+                throw new BadInput("not JSON: " + e.getOriginalMessage());
+            }
+        }
+    }
+
+    /** Tells of pieces, as they come from the network, that hold white space alone. */
+    private static final class Blanks extends FilterInputStream {
+        private final Runnable blank;
+
+        Blanks(InputStream in, Runnable blank) {
+            super(in);
+            this.blank = blank;
+        }
+
+        @Override
+        public int read(byte[] into, int from, int most) throws IOException {
+            int count = super.read(into, from, most);
+            if (count > 0 && new String(into, from, count, StandardCharsets.ISO_8859_1).isBlank()) {
+                blank.run();
+            }
+            return count;
+        }
+    }
+
     /** The object as JSON text. */
     public static String write(Map<String, ?> fields) {
         StringWriter text = new StringWriter();
--- a/src/main/java/dunlinladder/wire/discovery/Watch.java
+++ b/src/main/java/dunlinladder/wire/discovery/Watch.java
@@ -8,12 +8,9 @@
 import dunlinladder.membership.Timing;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
@@ -203,11 +200,10 @@
                 }
                 on(new Event.Answered(wanted.link()));
                 connection.receiveResponseEntity(response);
-                BufferedReader lines = new BufferedReader(new InputStreamReader(
-                        response.getEntity().getContent(), StandardCharsets.UTF_8));
-                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-                    on(line.isBlank() ? new Event.Beat(wanted.link())
-                            : new Event.Told(wanted.link(), reader.read(Json.parse(line), false)));
+                Json.Values lists = new Json.Values(response.getEntity().getContent(),
+                        () -> on(new Event.Beat(wanted.link())));
+                for (Json list = lists.next(); list != null; list = lists.next()) {
+                    on(new Event.Told(wanted.link(), reader.read(list, false)));
                 }
             }
         }
--- a/src/test/java/dunlinladder/it/RulesTest.java
+++ b/src/test/java/dunlinladder/it/RulesTest.java
@@ -174,8 +174,9 @@
         running.discovery.dropConnections();
         assertEquals(200, plain());
         StandIn leaving = running.writers.get(running.writers.get(0).seen.isEmpty() ? 1 : 0);
-        running.discovery.tell("{\"seq\":2,\"whole\":false,\"hosts\":["
-                + Running.host(leaving, "answer", "leaving") + "]}");
+        // Lists may come indented.
+        running.discovery.tell(("{\"seq\":2,\"whole\":false,\"hosts\":["
+                + Running.host(leaving, "answer", "leaving") + "]}").replace(",", ",\n  "));
         // The other writer may be picked before the news is in; without it too, the news shows for certain.
         StandIn other = running.writers.get(1 - running.writers.indexOf(leaving));
         for (String health : new String[] {"leaving", "active"}) {
--- a/src/test/java/dunlinladder/membership/FollowingTest.java
+++ b/src/test/java/dunlinladder/membership/FollowingTest.java
@@ -19,7 +19,7 @@
 /** The state machine that follows the list, step by step and against a discovery that does anything. */
 class FollowingTest {
 
-    private static final Timing TIMING = new Timing(0.3, 2, 3, 2.5, 0.2, 4, 10, 3);
+    private static final Timing TIMING = new Timing(0.3, 2, 3, 1, 2.5, 0.5, 0.2, 4, 10, 3);
 
     private final List<Command> done = new ArrayList<>();
     private Following state = Following.from(TIMING, 41, 7);
@@ -186,7 +186,7 @@
         done.clear();
         pass(2.4);
         assertDone();
-        while (done.isEmpty() && now < 3.75) {
+        while (done.isEmpty() && now < 3) {
             pass(0.1);
         }
         assertDone(new Command.Open(1, "a:1", 41));
@@ -197,6 +197,51 @@
         assertDone(new Command.Close(0));
     }
 
+    /** What a silent watch misses counts as told 6 s later, also where the next call is lost too. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void aSilentWatchIsReplacedInTimeThoughACallIsLostToo(long seed) {
+        state = Following.from(TIMING, 41, seed);
+        on(new Event.Move("a:1"));
+        on(new Event.Connected(0));
+        on(new Event.Answered(0));
+        on(new Event.Beat(0));
+        pass(3);
+        on(new Event.Connected(1));
+        pass(1);
+        done.clear();
+        on(new Event.Connected(2));
+        on(new Event.Answered(2));
+        on(new Event.Told(2, changes(42, "x=LEAVING")));
+        assertEquals(1, taken().size());
+        assertEquals(1, state.links().size());
+        assertTrue(now <= 4);
+    }
+
+    /** A silent discovery answers what waits at its return: from the first call on there is always one. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void anOutageFindsACallThatWaitsAtItsEnd(long seed) {
+        state = Following.from(TIMING, 41, seed);
+        on(new Event.Move("a:1"));
+        while (now < 60) {
+            state.links().stream().filter(link -> !link.up())
+                    .forEach(link -> on(new Event.Connected(link.id())));
+            pass(0.05);
+            assertFalse(state.links().isEmpty(), "none at " + now);
+        }
+        // A call that was due to be replaced is as good as any other until then.
+        while (!state.links().get(0).overdue()) {
+            pass(0.01);
+        }
+        int waited = state.links().get(0).id();
+        done.clear();
+        on(new Event.Told(waited, changes(42, "x=LEAVING")));
+        assertEquals(1, taken().size());
+        pass(1);
+        assertEquals(List.of(waited), state.links().stream().map(Following.Link::id).toList());
+    }
+
     @Test
     void aRefusedAddressIsAskedAgainAfterAPauseOnly() {
         on(new Event.Move("a:1"));
@@ -350,6 +395,8 @@
             held = state.version();
         }
         assertEquals(latest, held);
+        // Where all was told already, the last thing that happened may have begun a pause.
+        pass(TIMING.retryMost());
         assertFalse(state.links().isEmpty());
     }
 }
--- a/src/test/java/dunlinladder/wire/ReadersTest.java
+++ b/src/test/java/dunlinladder/wire/ReadersTest.java
@@ -1,6 +1,7 @@
 package dunlinladder.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,10 +9,18 @@
 import dunlinladder.core.Engine;
 import dunlinladder.membership.News;
 import dunlinladder.wire.discovery.HostReader;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.SequenceInputStream;
+import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Discovery's lists. */
 class ReadersTest {
@@ -41,4 +50,30 @@
         BadInput error = assertThrows(BadInput.class, () -> read("{'seq':1,'hosts':[" + host + "]}"));
         assertTrue(error.getMessage().contains(named), error.getMessage());
     }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"{'seq':4}~{'seq':5}~|2|0",
+        "{~  'seq': 4,~  'x': [~  ]~}~~~{'seq':5}|2|0", "^~^{'seq':4}~^~^{'seq':5}~|2|2",
+        "{'seq':4}{'seq':5}|2|0", "|0|0", "^~^~^|0|2"})
+    void objectsAreReadHoweverTheyAreLaidOut(String text, int objects, int blank) throws IOException {
+        // What stands between two ^ comes as one piece.
+        String raw = (text == null ? "" : text).replace('\'', '"').replace('~', '\n');
+        List<InputStream> pieces = Arrays.stream(raw.split("\\^"))
+                .map(piece -> (InputStream) new ByteArrayInputStream(piece.getBytes())).toList();
+        AtomicInteger blanks = new AtomicInteger();
+        Json.Values values = new Json.Values(new SequenceInputStream(Collections.enumeration(pieces)),
+                blanks::incrementAndGet);
+        for (int i = 0; i < objects; i++) {
+            assertEquals(4 + i, values.next().integer("seq"));
+        }
+        assertNull(values.next());
+        assertEquals(blank, blanks.get());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"[1]", "x", "{\"seq\":", "7"})
+    void whatIsNotAnObjectIsRefused(String text) throws IOException {
+        Json.Values values = new Json.Values(new ByteArrayInputStream(text.getBytes()), () -> { });
+        assertThrows(BadInput.class, values::next);
+    }
 }
