Check all settings at the start, by name and range, and serve names beyond ASCII

Need: a settings file with a missing, misplaced or mistyped field has to end the start with one line that names file and key; what is absent gets the protocol's default, what is not known is left aside with one warning. Looked at: ranges were checked for four fields only; a zone past the list, roles for other kinds than named, an unknown effect (taken for unsafe in silence) or list mode (taken for pushed), figures under 0 and names there twice were all taken; max-retry-after 0, which a deployment without advice may say, ended the start. Class and tenant names beyond ASCII never matched, as heads are read byte by byte.

Change: SettingsReader reads and checks the settings for the gateway and the simulator's wire, Json has the ranges and choices, messages say place, bounds and value.

--- a/src/main/java/dunlinladder/lifecycle/Config.java
+++ b/src/main/java/dunlinladder/lifecycle/Config.java
@@ -5,7 +5,7 @@
 import dunlinladder.membership.Timing;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
-import dunlinladder.wire.sim.Wire;
+import dunlinladder.wire.sim.SettingsReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -13,12 +13,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The gateway's configuration: read, checked and given defaults here and nowhere else. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, Json known,
         Router.Settings settings, List<String> classes, List<Double> deadlines, List<String> tenants,
         List<String> zones, List<String> kinds, Limits limits, Timing list) {
 
+    private static final Logger LOG = LoggerFactory.getLogger(Config.class);
     /** Descriptors kept for the program itself: files, selectors, the watch, listeners. */
     private static final int OWN_SOCKETS = 64;
     /** The protocol's: seconds between the empty lines of a watch while nothing changes. */
@@ -35,11 +38,11 @@
             throw new BadInput("RELAY_CONFIG is not set; it names the configuration file");
         }
         try {
-            return read(Json.parse(Files.readString(Path.of(file))), environment);
+            return read(Json.parse(Files.readString(Path.of(file)), "the configuration"), environment);
         } catch (IOException e) {
             throw new BadInput("RELAY_CONFIG: cannot read " + file + ": " + e.getMessage());
         } catch (BadInput e) {
-            throw new BadInput("RELAY_CONFIG: " + e.getMessage());
+            throw new BadInput("RELAY_CONFIG " + file + ": " + e.getMessage());
         }
     }
 
@@ -56,36 +59,36 @@
     static Config read(Json file, Map<String, String> environment) {
         Json settings = file.child("settings");
         Json caps = settings.childOrEmpty("caps");
-        int sockets = (int) file.childOrEmpty("limits").integer("sockets", 1024);
-        if (sockets < 4 * OWN_SOCKETS) {
-            throw new BadInput("limits.sockets is " + sockets + ", under " + 4 * OWN_SOCKETS);
-        }
+        Json given = file.childOrEmpty("limits");
+        int sockets = given.whole("sockets", 1024, 4 * OWN_SOCKETS, Integer.MAX_VALUE);
         // A request takes a thread, with its stack and its share of the heap: some 100 KB in all.
-        long memory = file.childOrEmpty("limits").integer("memory_mb", 160);
-        if (memory < 32) {
-            throw new BadInput("limits.memory_mb is " + memory + ", under 32");
-        }
+        int memory = given.whole("memory_mb", 160, 32, Integer.MAX_VALUE / 2);
         int each = Math.min(1024, sockets - OWN_SOCKETS) / 2;
         double keepalive = positive(caps, "keepalive", 30);
         long bodies = Runtime.getRuntime().maxMemory() / 5;
-        Router.Settings router = Wire.settings(settings);
+        Router.Settings router = SettingsReader.read(settings);
+        List<String> unknown = SettingsReader.unknown(settings);
+        if (!unknown.isEmpty()) {
+            LOG.warn("fields that are not known are left aside: {}", String.join(", ", unknown));
+        }
         Limits limits = new Limits(256 * 1024, bodies, 16 * 1024, 1024 * 1024, 64 * 1024, 16, 4096,
-                (int) Math.min(Math.min(each, 2 * memory), caps.integer("most-held", each)),
+                Math.min(Math.min(each, 2 * memory), caps.whole("most-held", each, 1, Integer.MAX_VALUE)),
                 each, each, positive(caps, "connect-timeout", 0.25), keepalive / 3, 0.02,
-                30, 4, 0.15, 8, 0.02, positive(caps, "max-retry-after", 1), 2.5, 0.04, 10, 0.1,
-                0.6, 0.05, lag(router));
+                30, 4, 0.15, 8, 0.02, router.maxRetryAfter() > 0 ? router.maxRetryAfter() : 1, 2.5, 0.04, 10,
+                0.1, 0.6, 0.05, lag(router));
         List<Json> classes = settings.children("classes");
+        List<Json> projects = SettingsReader.projects(settings);
         return new Config(environment.getOrDefault("RELAY_NAME", file.text("name", "gateway")),
                 address(environment.getOrDefault("RELAY_LISTEN", file.text("listen", null)), "listen"),
                 address(environment.getOrDefault("RELAY_DISCOVERY", file.text("discovery", null)),
                         "discovery"),
                 seed(file), file.childOrEmpty("known"), router,
-                classes.stream().map(c -> c.text("name")).toList(),
+                Json.names("settings.classes", classes.stream().map(c -> c.text("name")).toList()),
                 classes.stream().map(c -> positive(c, "deadline", 10)).toList(),
-                settings.has("projects")
-                        ? settings.children("projects").stream().map(p -> p.text("name")).toList()
-                        : List.of(),
-                settings.texts("zones"), settings.texts("kinds"), limits,
+                projects.isEmpty() ? List.of()
+                        : Json.names("settings.projects",
+                                projects.stream().map(p -> p.text("name")).toList()),
+                settings.names("zones"), settings.names("kinds"), limits,
                 following());
     }
 
@@ -118,11 +121,7 @@
     }
 
     private static double positive(Json from, String key, double absent) {
-        double value = from.number(key, absent);
-        if (!(value > 0)) {
-            throw new BadInput(key + " in " + from.where() + " must be over 0, not " + value);
-        }
-        return value;
+        return from.number(key, absent, Double.MIN_VALUE, Integer.MAX_VALUE);
     }
 
     static InetSocketAddress address(String text, String key) {
--- a/src/main/java/dunlinladder/wire/Json.java
+++ b/src/main/java/dunlinladder/wire/Json.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A JSON object with typed look-ups that name what is missing or of the wrong type. */
 public record Json(String where, Map<String, Object> fields) {
@@ -25,11 +26,16 @@
 
     /** Parses one line that holds one object. */
     public static Json parse(String line) {
+        return parse(line, "line");
+    }
+
+    /** Parses a text that holds one object; {@code where} names it in what is said of its fields. */
+    public static Json parse(String line, String where) {
         try (JsonParser parser = FACTORY.createParser(line)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new BadInput("not a JSON object: " + shorten(line));
             }
-            Json json = new Json("line", object(parser));
+            Json json = new Json(where, object(parser));
             if (parser.nextToken() != null) {
                 throw new BadInput("more than one value on a line: " + shorten(line));
             }
@@ -202,6 +208,62 @@
         return has(name) ? integer(name) : absent;
     }
 
+    /** A number within bounds, both included; {@code absent} where there is none. */
+    public double number(String name, double absent, double least, double most) {
+        return has(name) ? within(name, number(name), least, most) : absent;
+    }
+
+    /** A whole number within bounds, both included; {@code absent} where there is none. */
+    public int whole(String name, int absent, int least, int most) {
+        return has(name) ? whole(name, least, most) : absent;
+    }
+
+    /** A whole number within bounds, both included, that must be there. */
+    public int whole(String name, int least, int most) {
+        double value = within(name, number(name), least, most);
+        if (value != Math.rint(value)) {
+            throw new BadInput(where + "." + name + " must be a whole number, not " + value);
+        }
+        return (int) value;
+    }
+
+    private double within(String name, double value, double least, double most) {
+        if (value >= least && value <= most) {
+            return value;
+        }
+        throw new BadInput(where + "." + name + " must be " + (least == Double.MIN_VALUE ? "over 0"
+                : plain(least) + " or more") + " and at most " + plain(most) + ", not " + plain(value));
+    }
+
+    private static String plain(double value) {
+        return value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value)
+                : Double.toString(value);
+    }
+
+    /** One of the values of {@code meaning} by its name; {@code absent} where there is none. */
+    public <T> T choice(String name, T absent, Map<String, T> meaning) {
+        if (!has(name)) {
+            return absent;
+        }
+        if (!meaning.containsKey(text(name))) {
+            throw new BadInput(where + "." + name + " must be one of "
+                    + meaning.keySet().stream().sorted().toList() + ", not " + text(name));
+        }
+        return meaning.get(text(name));
+    }
+
+    /** A list of such values. */
+    public <T> List<T> choices(String name, Map<String, T> meaning) {
+        return texts(name).stream()
+                .map(text -> new Json(where, Map.of(name, text)).choice(name, null, meaning)).toList();
+    }
+
+    /** Where fields stand that are not among those known. */
+    public List<String> unknown(Set<String> known) {
+        return fields.keySet().stream().filter(name -> !known.contains(name)).map(name -> where + "." + name)
+                .toList();
+    }
+
     public String text(String name) {
         return get(name, String.class);
     }
@@ -230,7 +292,7 @@
             if (!(entry instanceof Map)) {
                 throw new BadInput("an entry of '" + name + "' in " + where + " is not an object");
             }
-            result.add(new Json(where + "." + name, (Map<String, Object>) entry));
+            result.add(new Json(where + "." + name + "[" + result.size() + "]", (Map<String, Object>) entry));
         }
         return result;
     }
@@ -252,8 +314,25 @@
     public List<String> texts(String name) {
         List<String> result = new ArrayList<>();
         for (Object entry : get(name, List.class)) {
-            result.add(String.valueOf(entry));
+            if (!(entry instanceof String text)) {
+                throw new BadInput("an entry of '" + name + "' in " + where + " is not a string");
+            }
+            result.add(text);
         }
         return result;
     }
+
+    /** The names of a list: at least one, none of them empty or there twice. */
+    public List<String> names(String name) {
+        return names(where + "." + name, texts(name));
+    }
+
+    /** Checks names that stand at {@code where}: at least one, none of them empty or there twice. */
+    public static List<String> names(String where, List<String> names) {
+        if (names.isEmpty() || names.stream().anyMatch(String::isBlank)
+                || names.stream().distinct().count() < names.size()) {
+            throw new BadInput(where + " must hold names, none of them empty or twice: " + names);
+        }
+        return names;
+    }
 }
--- a/src/main/java/dunlinladder/wire/platform/RequestReader.java
+++ b/src/main/java/dunlinladder/wire/platform/RequestReader.java
@@ -53,6 +53,11 @@
     private static int index(List<String> names, String name, String header) {
         // An immutable list throws when it is asked for null.
         int index = name == null ? -1 : names.indexOf(name);
+        if (index < 0 && name != null) {
+            // A head is read byte by byte; a name beyond ASCII comes in UTF-8.
+            index = names.indexOf(new String(name.getBytes(StandardCharsets.ISO_8859_1),
+                    StandardCharsets.UTF_8));
+        }
         if (index < 0) {
             throw new BadInput(header + (name == null ? " is missing" : " names nothing known: " + name));
         }
--- a/src/main/java/dunlinladder/wire/sim/Host.java
+++ b/src/main/java/dunlinladder/wire/sim/Host.java
@@ -96,7 +96,7 @@
 
     private void open(long instance, Json body) {
         long seed = body.integer("salt");
-        Router.Settings settings = Wire.settings(body.child("info"));
+        Router.Settings settings = SettingsReader.read(new Json("info", body.child("info").fields()));
         instances.put(instance, new Logic(settings, seed));
     }
 
--- a/src/main/java/dunlinladder/wire/sim/Wire.java
+++ b/src/main/java/dunlinladder/wire/sim/Wire.java
@@ -9,73 +9,12 @@
 import java.util.List;
 import java.util.Map;
 
-/** The wire's spelling: JSON to settings and events, actions to JSON. Holds no decisions. */
+/** The wire's spelling: JSON to events, actions to JSON. Holds no decisions. */
 public final class Wire {
 
     private Wire() {
     }
 
-    /** Translates the settings of an {@code OpenInstance}. */
-    public static Router.Settings settings(Json info) {
-        Json caps = info.childOrEmpty("caps");
-        Json family = info.childOrEmpty("family-info");
-        List<Router.Role> roles = new ArrayList<>();
-        for (String role : family.texts("role-by-kind")) {
-            roles.add(switch (role) {
-                case "read" -> Router.Role.READ;
-                case "write" -> Router.Role.WRITE;
-                case "both" -> Router.Role.BOTH;
-                default -> throw new BadInput("unknown role " + role);
-            });
-        }
-        List<Double> quotas = new ArrayList<>();
-        if (info.has("projects")) {
-            for (Json project : info.children("projects")) {
-                quotas.add(project.number("quota-per-s", Double.POSITIVE_INFINITY));
-            }
-        }
-        return new Router.Settings((int) info.integer("balancers", 1), (int) info.integer("zone", 0),
-                classes(info, family), quotas, roles, family.numbers("kv-tokens"),
-                (int) caps.integer("max-attempts", 1), family.flag("read-in-place"),
-                caps.flag("retry-after"), caps.number("max-retry-after", 0),
-                info.text("membership-mode", "pushed").equals("on_request"),
-                rules(info.childOrEmpty("rules"), family));
-    }
-
-    private static List<Router.ServiceClass> classes(Json info, Json family) {
-        List<Double> perKilotoken = family.numbers("aim-us-per-1000-prompt-tokens");
-        List<Double> tokenAims = family.numbers("token-aim");
-        List<Router.ServiceClass> classes = new ArrayList<>();
-        for (Json entry : info.children("classes")) {
-            int index = classes.size();
-            Router.Effect effect = switch (entry.text("semantics", "unsafe")) {
-                case "safe" -> Router.Effect.SAFE;
-                case "keyed" -> Router.Effect.KEYED;
-                default -> Router.Effect.UNSAFE;
-            };
-            Router.Group group = switch (entry.text("group", "cell")) {
-                case "all" -> Router.Group.ALL;
-                case "zone" -> Router.Group.ZONE;
-                default -> Router.Group.CELL;
-            };
-            classes.add(new Router.ServiceClass(entry.number("objective"), at(perKilotoken, index) * 1e-6,
-                    entry.number("aim-stretch", 0), at(tokenAims, index), effect, group,
-                    entry.number("repeat-window", 0), entry.number("worth", 1),
-                    entry.number("late-worth", 0)));
-        }
-        return classes;
-    }
-
-    private static double at(List<Double> list, int index) {
-        return index < list.size() ? list.get(index) : 0;
-    }
-
-    private static Router.Rules rules(Json rules, Json family) {
-        return new Router.Rules(rules.number("answer-slack", 0), rules.number("stop-sending-within", 0),
-                rules.number("fall-multiple", 1), rules.number("tip-after", 0), rules.number("cold", 0),
-                rules.number("cold-from", 1), family.number("release-within", 0));
-    }
-
     /** Translates an event; null for one that the module has no use for. */
     static Router.Event event(String name, Json body) {
         return switch (name) {
--- a/src/test/java/dunlinladder/wire/platform/RequestReaderTest.java
+++ b/src/test/java/dunlinladder/wire/platform/RequestReaderTest.java
@@ -7,6 +7,7 @@
 import dunlinladder.core.Request;
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.engine.Forward;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,6 +44,16 @@
         assertEquals("X-Attrs".equals(header) ? 0 : RequestReader.key("5c"), r.prefix());
     }
 
+    /** Heads are read byte by byte: a name of the settings beyond ASCII comes as the bytes of its UTF-8. */
+    @ParameterizedTest
+    @CsvSource({"\u00e9t\u00e9", "\u4e16\u754c", "a;b=c", "z'q", "two words"})
+    void namesMayHoldAnyCharacters(String name) {
+        RequestReader any = new RequestReader(List.of("first", name), List.of(1.0, 2.0), List.of());
+        String sent = new String(name.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+        Map<String, String> headers = Map.of("X-Request-ID", "ab12", "X-Priority-Class", sent);
+        assertEquals(1, any.read(headers::get, FORWARD, 100).serviceClass());
+    }
+
     @ParameterizedTest
     @CsvSource(nullValues = "none", value = {"X-Request-ID, none", "X-Request-ID, a/b",
             "X-Priority-Class, none",
