Learn by role what readers keep of openings where gateways are many

After the flush half of the reads read their opening anew (2,500 tokens a read before, 4,100 to 5,400 after), each taking longer; Logic.kept held every opening for kept at every warm reader and learnKept took nothing in where blind is over 0, so the role's delay over the size of what was sent rose, and hopeless() refused what would have had its first token in time. Writers were idle (0.03 s from the read's end), readers at 57% of what they can read; failures, moves and full engines were ruled out by their counts (docs/deployments.md).

Change: KeptPrompts learns the part found by role where gateways are many; kept() believes that much, and a read's size is corrected by what was missed, as with few gateways.

The new test fails without the change: the fifth request is refused.

--- a/src/main/java/dunlinladder/decision/KeptPrompts.java
+++ b/src/main/java/dunlinladder/decision/KeptPrompts.java
@@ -13,6 +13,8 @@
 
     private final double keptFor;
     private final double smooth;
+    /** Part of a beginning that servers of a role were found to keep, the last ten answers of the role. */
+    private final double[] foundByRole = {1, 1, 1};
     private final Map<Long, Turn> sessions;
     private final Map<Long, Map<Worker, Double>> prefixes;
 
@@ -63,22 +65,31 @@
 
     /**
      * Takes in how many prompt tokens a server found kept: apart for beginnings that this router had sent it
-     * and for others. A session's own turns say nothing of the others.
+     * and for others. A session's own turns say nothing of the others. With {@code byRole} all servers of a
+     * role are taken together: where routers are many each meets one server too seldom to learn of it alone.
      */
-    void learn(Attempt attempt, double found) {
+    void learn(Attempt attempt, double found, boolean byRole) {
         Worker w = attempt.worker;
         double prefix = attempt.job.request.prefixTokens();
         if (prefix <= 0) {
             return;
         }
         double part = Math.min(1, found / prefix);
-        if (attempt.prefixSent) {
+        if (byRole) {
+            int role = w.role.ordinal();
+            foundByRole[role] += attempt.sessionSent ? 0 : (part - foundByRole[role]) * smooth / 2;
+        } else if (attempt.prefixSent) {
             w.foundSent += (part - w.foundSent) * smooth;
         } else if (!attempt.sessionSent) {
             w.foundOther += (part - w.foundOther) * smooth;
         }
     }
 
+    /** Part of a beginning, 0 to 1, that servers of a role were found to keep; 1 before any answer. */
+    double foundBy(Router.Role role) {
+        return foundByRole[role.ordinal()];
+    }
+
     /** The server left for good. */
     void forget(Worker w) {
         sessions.values().removeIf(turn -> turn.worker == w);
--- a/src/main/java/dunlinladder/decision/Logic.java
+++ b/src/main/java/dunlinladder/decision/Logic.java
@@ -489,17 +489,18 @@
             return keeps.sessionTokens(job.request);
         }
         boolean sent = keeps.prefixSent(job.request.prefix(), w, now);
-        double part = blind == 0 ? sent ? w.foundSent : w.foundOther : sent || !isCold(w) ? 1 : 0;
+        double part = blind == 0 ? sent ? w.foundSent : w.foundOther
+                : sent || !isCold(w) ? keeps.foundBy(w.role) : 0;
         return job.request.prefixTokens() * part;
     }
 
     /** What was found kept corrects what is believed of the server and what the read should have taken. */
     private void learnKept(Attempt attempt, Outcome event) {
         boolean read = event.status() == Status.READ;
-        if (blind > 0 || !read && (event.status() != Status.OK || attempt.stage != Stage.WHOLE)) {
+        if (!read && (event.status() != Status.OK || attempt.stage != Stage.WHOLE)) {
             return;
         }
-        keeps.learn(attempt, event.note());
+        keeps.learn(attempt, event.note(), blind > 0);
         if (read) {
             double missed = Math.max(1, attempt.job.request.promptTokens() - event.note());
             meanTokens += (missed - meanTokens) * SMOOTH_SLOW;
@@ -670,9 +671,6 @@
         if (stage != Stage.WRITE) {
             attempt.tokens = job.request.promptTokens() - kept(job, w);
             attempt.size = size(job, w);
-            if (blind > 0) {
-                meanTokens += (job.request.promptTokens() - meanTokens) * SMOOTH_SLOW;
-            }
             keeps.note(attempt, now);
             attempt.ahead = w.readTokens;
             w.readTokens += attempt.tokens;
--- a/src/test/java/dunlinladder/decision/Fleet.java
+++ b/src/test/java/dunlinladder/decision/Fleet.java
@@ -68,6 +68,13 @@
                 100, false, false)));
     }
 
+    /** A request of 200 tokens behind a beginning of so many. */
+    void opening(String id, long prefix, double tokens) {
+        handle(new Router.Arrival(new Router.Request(id, 0, 0, id.hashCode(), now + 5, 0, prefix,
+                tokens + 200, tokens, 100, false, false)));
+        sentAt.putIfAbsent(id, now);
+    }
+
     /** Ends every attempt that is still out with a time-out. */
     void drainAttempts() {
         for (String id : List.copyOf(latest.keySet())) {
--- a/src/test/java/dunlinladder/decision/LogicTest.java
+++ b/src/test/java/dunlinladder/decision/LogicTest.java
@@ -569,6 +569,30 @@
         assertEquals(1, refused, "refused: the aim cannot be met");
     }
 
+    /**
+     * The engines' calm day: after all readers had lost what they kept, each beginning was read anew. By
+     * many routers that was taken for a slow role, and short requests were refused as well.
+     */
+    @Test
+    void whatIsReadAnewIsNoSlownessWhereRoutersAreMany() {
+        Fleet fleet = new Fleet().routers(100);
+        for (int k = 0; k < 30; k++) {
+            fleet.with("r" + k, k, Role.READ).with("w" + k, k, Role.WRITE);
+        }
+        fleet.restartRouter();
+        for (int i = 0; i < 12; i++) {
+            fleet.opening("a" + i, 100 + i, 8000);
+            assertEquals(0, fleet.finals("a" + i), "refused, the " + i + "th");
+            fleet.run(0.4);
+            fleet.outcome("a" + i, Status.READ);
+            fleet.run(0.02);
+            fleet.first("a" + i);
+            fleet.outcome("a" + i, Status.OK);
+        }
+        fleet.request("short", 1);
+        assertEquals(0, fleet.finals("short"));
+    }
+
     /** Incident i52e765: hundreds of routers trying a jammed role every other second kept it jammed. */
     @Test
     void jammedRoleIsTriedSeldomByManyRouters() {
--- a/src/test/java/dunlinladder/lifecycle/ConfigTest.java
+++ b/src/test/java/dunlinladder/lifecycle/ConfigTest.java
@@ -6,6 +6,7 @@
 
 import dunlinladder.wire.BadInput;
 import dunlinladder.wire.Json;
+import dunlinladder.wire.discovery.HostReader;
 import dunlinladder.wire.sim.SettingsReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -62,6 +63,21 @@
                 SettingsReader.unknown(settings));
     }
 
+    /** The decisions see no name of a class, tenant, zone or kind: the same settings, and the same list. */
+    @Test
+    void namesChangeNothingThatDecides() throws IOException {
+        String renamed = FILE.replace("[\"a\",\"b\"]", "[\"b\",\"\u4e16\"]")
+                .replace("\"site\":\"a\"", "\"site\":\"b\"")
+                .replace("\"one\"", "\"read\"").replace("\"two\"", "\"one\"").replace("\"x\"", "\"y y\"")
+                .replace("\"name\":\"y\"", "\"name\":\"x\"").replace("\"t\"", "\"a\"");
+        Config first = read(FILE);
+        Config second = read(renamed);
+        assertEquals(first.settings(), second.settings());
+        assertEquals(new HostReader(first.zones(), first.kinds()).read(first.known(), true),
+                new HostReader(second.zones(), second.kinds()).read(second.known(), true));
+        assertEquals(List.of("y y", "x"), second.classes());
+    }
+
     /** What is first gives way to what is second; the message names what is third. */
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
