--- a/src/main/java/dunlinladder/lifecycle/Config.java
+++ b/src/main/java/dunlinladder/lifecycle/Config.java
@@ -88,7 +88,7 @@
                 projects.isEmpty() ? List.of()
                         : Json.names("settings.projects",
                                 projects.stream().map(p -> p.text("name")).toList()),
-                settings.names("zones"), settings.names("kinds"), limits,
+                SettingsReader.zones(settings), settings.names("kinds"), limits,
                 following());
     }
 
--- a/src/main/java/dunlinladder/wire/discovery/HostReader.java
+++ b/src/main/java/dunlinladder/wire/discovery/HostReader.java
@@ -40,6 +40,9 @@
     }
 
     private static int index(List<String> names, Json host, String field) {
+        if (names.isEmpty()) {
+            return 0;
+        }
         int index = names.indexOf(host.text(field, names.get(0)));
         if (index < 0) {
             throw new BadInput("unknown " + field + " " + host.text(field));
