--- a/src/test/java/dunlinladder/decision/LogicTest.java
+++ b/src/test/java/dunlinladder/decision/LogicTest.java
@@ -544,14 +544,19 @@
         assertTrue(elsewhere);
     }
 
-    /** Many routers, each server met once: what the role takes now tells of a jam, not each server's past. */
-    @Test
-    void jamIsKnownFromTheRolesLatestAnswers() {
+    /** One of a hundred routers, just started, before thirty cells of a reader and a writer each. */
+    private static Fleet manyRouters() {
         Fleet fleet = new Fleet().routers(100);
         for (int k = 0; k < 30; k++) {
             fleet.with("r" + k, k, Role.READ).with("w" + k, k, Role.WRITE);
         }
-        fleet.restartRouter();
+        return fleet.restartRouter();
+    }
+
+    /** Many routers, each server met once: what the role takes now tells of a jam, not each server's past. */
+    @Test
+    void jamIsKnownFromTheRolesLatestAnswers() {
+        Fleet fleet = manyRouters();
         for (int i = 0; i < 30; i++) {
             fleet.arrive("a" + i);
             fleet.run(0.05);
@@ -575,11 +580,7 @@
      */
     @Test
     void whatIsReadAnewIsNoSlownessWhereRoutersAreMany() {
-        Fleet fleet = new Fleet().routers(100);
-        for (int k = 0; k < 30; k++) {
-            fleet.with("r" + k, k, Role.READ).with("w" + k, k, Role.WRITE);
-        }
-        fleet.restartRouter();
+        Fleet fleet = manyRouters();
         for (int i = 0; i < 12; i++) {
             fleet.opening("a" + i, 100 + i, 8000);
             assertEquals(0, fleet.finals("a" + i), "refused, the " + i + "th");
@@ -596,11 +597,7 @@
     /** Incident i52e765: hundreds of routers trying a jammed role every other second kept it jammed. */
     @Test
     void jammedRoleIsTriedSeldomByManyRouters() {
-        Fleet fleet = new Fleet().routers(100);
-        for (int k = 0; k < 30; k++) {
-            fleet.with("r" + k, k, Role.READ).with("w" + k, k, Role.WRITE);
-        }
-        fleet.restartRouter();
+        Fleet fleet = manyRouters();
         for (int i = 0; i < 7; i++) {
             fleet.request("a" + i, i);
         }
@@ -622,11 +619,7 @@
     /** Day h86dace: readers idle again after a rack's restart, yet old answers refused for half a minute. */
     @Test
     void goodTrialOpensAJammedRoleAgain() {
-        Fleet fleet = new Fleet().routers(100);
-        for (int k = 0; k < 30; k++) {
-            fleet.with("r" + k, k, Role.READ).with("w" + k, k, Role.WRITE);
-        }
-        fleet.restartRouter();
+        Fleet fleet = manyRouters();
         for (int i = 0; i < 7; i++) {
             fleet.request("a" + i, i);
         }
