--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -35,12 +35,15 @@
     private static final class Held {
         final Request request;
         final Client client;
+        /** Clock time at which it was taken. */
+        final double takenAt;
         EngineCalls.Call call;
         boolean gone;
 
-        Held(Request request, Client client) {
+        Held(Request request, Client client, double takenAt) {
             this.request = request;
             this.client = client;
+            this.takenAt = takenAt;
         }
 
         synchronized void sent(EngineCalls.Call started) {
@@ -81,7 +84,7 @@
 
     /** Takes a request; false when its id is in use, and then the client is told nothing. */
     public boolean take(Request request, Client client) {
-        Held entry = new Held(request, client);
+        Held entry = new Held(request, client, clock.now());
         if (held.putIfAbsent(request.id(), entry) != null) {
             return false;
         }
@@ -197,9 +200,11 @@
             return unsent(entry, trail, attempt);
         }
         boolean[] begun = {false};
+        double[] firstAt = {0};
         EngineCalls.Call call;
         try {
             call = calls.send(attempt, entry.client, () -> {
+                firstAt[0] = clock.now();
                 begun[0] = true;
                 decider.firstToken(attempt);
             });
@@ -214,10 +219,12 @@
         if (LOG.isDebugEnabled()) {
             // What is needed to count across a fleet; deploy/fleet-counts.py reads it.
             LOG.debug("event=attempt request={} class={} attempt={} engine={} reads={} age={} outcome={} "
-                    + "seconds={}", request.id(), request.serviceClass(), attempt.number(), engine.id(),
-                    !attempt.effect(),
+                    + "seconds={} since={} first={} prompt={} prefix={} kept={}", request.id(),
+                    request.serviceClass(), attempt.number(), engine.id(), !attempt.effect(),
                     engine.startedAt() > 0 ? (long) (endedAt - engine.startedAt()) : "long",
-                    outcome.ending(), Seconds.text(endedAt - sentAt));
+                    outcome.ending(), Seconds.text(endedAt - sentAt), Seconds.text(sentAt - entry.takenAt),
+                    begun[0] ? Seconds.text(firstAt[0] - entry.takenAt) : "-", (long) request.promptTokens(),
+                    (long) request.prefixTokens(), (long) outcome.note());
         }
         boolean ok = outcome.ending() == Outcome.Ending.OK;
         boolean rejected = outcome.ending() == Outcome.Ending.REJECTED;
