Bound the time to a change in force after failed calls to discovery, by mode of lists

Cause, by reading: Timing had pauses of up to 4 s (doubling) and 3 s of waiting for a lost call in both modes of lists. With a lost call 10 s could pass until a change was heard that counts as told after 6 s; where lists are pushed the agent's news counts at once, so after some refused calls a pause of up to 4 s broke the drain rule by itself.

Change: Timing.of derives the times from the mode of lists and the drain rule's time; a call to an agent on this machine, and the first one after a move, always gets company; raced calls that fail have one pause, not one each.

--- a/src/main/java/dunlinladder/lifecycle/Config.java
+++ b/src/main/java/dunlinladder/lifecycle/Config.java
@@ -24,12 +24,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Config.class);
     /** Descriptors kept for the program itself: files, selectors, the watch, listeners. */
     private static final int OWN_SOCKETS = 64;
-    /** The protocol's: seconds between the empty lines of a watch while nothing changes. */
-    private static final double BEAT = 2;
-    /** The protocol's: seconds after which what a silent watch misses counts as told. */
-    private static final double TOLD = 6;
-    /** Seconds by which a beat may be late on its way; the most that is added by chance is the same. */
-    private static final double BEAT_LATE = 0.5;
+    /** Seconds after which news of a drain has to be in force where the settings have no rule on it. */
+    private static final double STOP_WITHIN = 1;
 
     /** Reads the file that {@code RELAY_CONFIG} names; {@code RELAY_LISTEN} and the like go before it. */
     static Config read(Map<String, String> environment) {
@@ -89,17 +85,8 @@
                         : Json.names("settings.projects",
                                 projects.stream().map(p -> p.text("name")).toList()),
                 SettingsReader.zones(settings), settings.names("kinds"), limits,
-                following());
-    }
-
-    /**
-     * One clock for silence: what a watch that has fallen silent misses counts as told {@code TOLD} seconds
-     * later. Its silence is noticed after a beat that is late, the rest of that time is for three things
-     * alike: a call that is lost as well, the one beside it, and the way of its news to the decisions.
-     */
-    private static Timing following() {
-        double silence = BEAT + BEAT_LATE;
-        return new Timing(0.3, 2, 3, (TOLD - silence - BEAT_LATE) / 3, silence, BEAT_LATE, 0.2, 4, 10, 3);
+                Timing.of(!router.listOnRequest(), router.rules().stopSendingWithin() > 0
+                        ? router.rules().stopSendingWithin() : STOP_WITHIN));
     }
 
     /**
--- a/src/main/java/dunlinladder/membership/Following.java
+++ b/src/main/java/dunlinladder/membership/Following.java
@@ -16,7 +16,8 @@
  * <li>An address that hangs: a second link is tried beside one whose connection does not come up, the first
  *     to answer stays. One that is connected waits for its turn: a second call would lengthen the queue.
  *     Where an older link has fallen silent, or was left behind by a move, news may be missed meanwhile:
- *     there a call that is not answered soon gets another one beside it.
+ *     there a call that is not answered soon gets another one beside it. So it does after a move that no
+ *     older link survived, and always where discovery is an agent on this machine.
  * <li>An outage: a call that was not answered in time stays open until the next one is opened, so that what
  *     discovery says at its return finds a call that waits for it.
  * <li>Discovery that is overbooked, and all gateways that start at once and ask again in step: there is one
@@ -37,10 +38,11 @@
  * @param nextId  the number of the next link
  * @param retryAt clock time before which no link replaces one that ended
  * @param failed  links in a row that ended without an answer
+ * @param moved   whether the address has changed and the new one has said nothing yet
  * @param random  state of the random numbers
  */
 public record Following(Timing timing, String address, long version, boolean whole, List<Link> links,
-        int nextId, double retryAt, int failed, long random) {
+        int nextId, double retryAt, int failed, boolean moved, long random) {
 
     /** Doublings after which the pause is at its bound whatever the figures are. */
     private static final int DOUBLINGS_MOST = 20;
@@ -142,7 +144,7 @@
 
     /** The state before the first event, holding the list of {@code version}; 0 for none. */
     public static Following from(Timing timing, long version, long seed) {
-        return new Following(timing, null, version, false, List.of(), 0, 0, 0, seed);
+        return new Following(timing, null, version, false, List.of(), 0, 0, 0, false, seed);
     }
 
     /** The state after {@code event} at clock time {@code now}, in seconds. */
@@ -171,7 +173,7 @@
 
     /** Clock time of the next {@link Event.Tick} that would do something; infinite when none would. */
     public double wake() {
-        double wake = address == null ? Double.POSITIVE_INFINITY : openAt(links, address, timing, retryAt);
+        double wake = address == null ? Double.POSITIVE_INFINITY : openAt(links, address, timing, retryAt, moved);
         for (Link link : links) {
             wake = Math.min(wake, link.until(timing));
             if (!Double.isNaN(link.behindAt)) {
@@ -184,13 +186,15 @@
     /**
      * When another link to the current address is wanted: after a pause where there is none that could still
      * be answered in time, beside one whose connection does not come up, beside one that has fallen silent,
-     * and beside a call that waits while an older link has fallen silent or is left behind.
+     * and beside a call that waits while news may be missed: an older link has fallen silent or is left
+     * behind, the address has moved, or the agent of this machine may know more than it has told.
      */
-    private static double openAt(List<Link> links, String address, Timing timing, double retryAt) {
+    private static double openAt(List<Link> links, String address, Timing timing, double retryAt,
+            boolean moved) {
         double heard = Double.NEGATIVE_INFINITY;
         double opened = Double.NEGATIVE_INFINITY;
         int count = 0;
-        boolean missing = links.stream().anyMatch(link -> link.answered);
+        boolean missing = timing.local() || moved || links.stream().anyMatch(link -> link.answered);
         for (Link link : links) {
             if (link.address.equals(address) && !link.overdue) {
                 count++;
@@ -215,6 +219,7 @@
         private int nextId;
         private double retryAt;
         private int failed;
+        private boolean moved;
         private long random;
 
         Step(Following from, double now) {
@@ -227,6 +232,7 @@
             this.nextId = from.nextId;
             this.retryAt = from.retryAt;
             this.failed = from.failed;
+            this.moved = from.moved;
             this.random = from.random;
         }
 
@@ -238,18 +244,22 @@
 
         /** No link is opened for a while, the longer the more calls in a row were not answered. */
         private void pause() {
-            retryAt = Math.max(retryAt, now + draw() * Math.min(timing.retryMost(),
-                    timing.retrySeconds() * Math.pow(2, Math.min(failed, DOUBLINGS_MOST))));
+            if (retryAt <= now) {
+                // Calls that were raced fail one after the other; a pause for each would add up.
+                retryAt = now + draw() * Math.min(timing.retryMost(),
+                        timing.retrySeconds() * Math.pow(2, Math.min(failed, DOUBLINGS_MOST)));
+            }
         }
 
         Next next() {
             return new Next(new Following(timing, address, version, whole, links, nextId, retryAt,
-                    failed, random),
+                    failed, moved, random),
                     List.copyOf(commands));
         }
 
         void move(String to) {
             if (!to.equals(address)) {
+                moved = address != null;
                 address = to;
                 retryAt = now;
                 failed = 0;
@@ -273,6 +283,7 @@
             replace(link.heard(now, line));
             if (current(link)) {
                 failed = line ? 0 : failed;
+                moved &= !line;
                 if (first) {
                     close(other -> other.id != id && current(other));
                 }
@@ -350,7 +361,7 @@
                     close(other -> other.id == link.id);
                 }
             }
-            if (now >= openAt(links, address, timing, retryAt)) {
+            if (now >= openAt(links, address, timing, retryAt, moved)) {
                 open();
             }
         }
--- a/src/test/java/dunlinladder/membership/FollowingTest.java
+++ b/src/test/java/dunlinladder/membership/FollowingTest.java
@@ -19,7 +19,8 @@
 /** The state machine that follows the list, step by step and against a discovery that does anything. */
 class FollowingTest {
 
-    private static final Timing TIMING = new Timing(0.3, 2, 3, 1, 2.5, 0.5, 0.2, 4, 10, 3);
+    private static final Timing TIMING = new Timing(0.3, 2, 3, 1, 2.5, 0.5, 0.2, 4, 10, 3,
+            false);
 
     private final List<Command> done = new ArrayList<>();
     private Following state = Following.from(TIMING, 41, 7);
