Notice clients that leave behind requests they sent at once; wait for half-sent ones at the end

After SIGTERM a request of which half had come lost its connection 100 ms after the last other one was answered (Gateway.stop waited for requests that are driven, not for those on their way in; ClientConnection.close ended a connection with half a head). A client that left between the decision and the send had its attempt begun and then taken back. By reading: SIGTERM between the first client and the hook that drains ended the process at once.

Change: what comes behind is read and dropped; the end waits until no connection is left, in place of 100 ms; the dispatcher asks once more before each attempt; the hook is there before the start and waits for one that has begun.

--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -195,8 +195,8 @@
             LOG.error("event=send_forbidden request={} class={} attempts={}", request.id(),
                     request.serviceClass(), trail);
         }
-        if (engine == null || forbidden) {
-            // Without an engine, because the list lost it since the decision.
+        if (engine == null || forbidden || entry.gone()) {
+            // Without an engine, because the list lost it since the decision; or the client left since then.
             return unsent(entry, trail, attempt);
         }
         boolean[] begun = {false};
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -53,6 +53,7 @@
     /** Tells the decisions of news in order; the list itself does not wait for them. */
     private final Executor told = Executors.newSingleThreadExecutor(task -> daemon(task, "news"));
     private final Watch watch;
+    private boolean started;
     private volatile boolean draining;
     private volatile boolean closing;
 
@@ -140,7 +141,7 @@
     }
 
     /** Starts all parts; clients are let in last. */
-    int start() throws IOException, InterruptedException {
+    synchronized int start() throws IOException, InterruptedException {
         if (known != null) {
             learn(known);
         }
@@ -155,6 +156,7 @@
             LOG.info("{} speaks chat on {} port {}", config.name(), operator.listen(),
                     chat.listen(operator.listen()));
         }
+        started = true;
         return port;
     }
 
@@ -206,24 +208,35 @@
 
     /**
      * An orderly end: first only {@code /up} says no, as connections keep coming until the front has seen
-     * it; then nothing new is accepted, idle connections close, and what was taken is finished.
+     * it; then nothing new is accepted, idle connections close, and what was taken is finished. False, and
+     * nothing done, where it has not started; one that is just starting is waited for.
      */
-    void stop() throws InterruptedException, IOException {
+    synchronized boolean stop() throws InterruptedException, IOException {
+        if (!started) {
+            return false;
+        }
         LOG.info("stopping with {} requests", dispatcher.active());
         draining = true;
         Thread.sleep((long) (limits.drainSeconds() * 1000));
         closing = true;
         for (Server each : servers) {
             each.stopListening();
-            each.closeIdle();
         }
-        // What is held at engines for a request outlives its answer until a release has arrived.
-        while (dispatcher.active() > 0 || client.releasing() > 0) {
+        // Requests that are still on their way in, answers on their way out; and what is held at engines for a
+        // request outlives its answer until a release has arrived.
+        while (!allClosed() || dispatcher.active() > 0 || client.releasing() > 0) {
             Thread.sleep(20);
         }
-        // The last answers may still be on their way out of the process.
-        Thread.sleep(100);
         servers.forEach(Server::close);
         LOG.info("stopped");
+        return true;
+    }
+
+    private boolean allClosed() {
+        boolean all = true;
+        for (Server each : servers) {
+            all &= each.closeIdle();
+        }
+        return all;
     }
 }
--- a/src/main/java/dunlinladder/lifecycle/Main.java
+++ b/src/main/java/dunlinladder/lifecycle/Main.java
@@ -81,18 +81,21 @@
                 ? Operator.chat(Plans.applied(state).settings(), config, System.getenv()) : null);
         // Without a handler of its own SIGHUP ends the JVM.
         Signal.handle(new Signal("HUP"), signal -> reload(gateway));
-        gateway.start();
-        gateway.whileDiscoveryIsLost(() -> lookAgain(gateway));
+        // Before the start: a signal that comes between its first client and this would lose that client.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             int status = 0;
             try {
-                gateway.stop();
+                if (!gateway.stop()) {
+                    return;
+                }
             } catch (InterruptedException | IOException | RuntimeException e) {
                 status = 1;
             }
             // Left to itself a JVM that ends by SIGTERM exits with 143.
             Runtime.getRuntime().halt(status);
         }, "stop"));
+        gateway.start();
+        gateway.whileDiscoveryIsLost(() -> lookAgain(gateway));
         new CountDownLatch(1).await();
     }
 
--- a/src/main/java/dunlinladder/wire/ClientConnection.java
+++ b/src/main/java/dunlinladder/wire/ClientConnection.java
@@ -3,8 +3,8 @@
 import dunlinladder.core.Limits;
 import dunlinladder.core.Seconds;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
-import java.nio.channels.SelectionKey;
 import org.apache.hc.core5.function.Supplier;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
@@ -40,6 +40,8 @@
 final class ClientConnection implements NHttpMessageParser<HttpRequest>,
         HandlerFactory<AsyncServerExchangeHandler> {
 
+    private static final int DROPPED_BYTES = 1024;
+
     private final ProtocolIOSession session;
     private final Limits limits;
     private final Supplier<? extends ServerExchange> exchanges;
@@ -49,7 +51,11 @@
     private volatile long since = System.nanoTime();
     private volatile boolean answered;
     private volatile boolean begun;
+    /** Whether it was told to end with the program, which one thread does. */
+    private boolean ended;
     private boolean refusing;
+    /** What is read to be dropped; allocated by the first who sends without waiting. */
+    private ByteBuffer dropped;
 
     ClientConnection(ProtocolIOSession session, Limits limits, Http1Config config,
             Supplier<? extends ServerExchange> exchanges) {
@@ -84,8 +90,11 @@
             throw new ConnectionClosedException("closed by the client");
         }
         if (refusing) {
-            // Nothing more is read, and so nothing more kept, of what was sent without waiting for answers.
-            session.clearEvent(SelectionKey.OP_READ);
+            // What was sent without waiting for answers is read and dropped. Were it left unread, the client's
+            // end would stand behind it, and the request that was taken would run on unheard.
+            while (buffer.hasData()) {
+                buffer.read(dropped.clear());
+            }
             return null;
         }
         HttpRequest head = parser.parse(buffer, false);
@@ -106,6 +115,7 @@
     public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
         if (open != null) {
             refusing = true;
+            dropped = ByteBuffer.allocate(DROPPED_BYTES);
             HttpResponse refusal = new BasicHttpResponse(503);
             refusal.setHeader("Connection", "close");
             refusal.setHeader("Retry-After", Seconds.text(limits.retryAfterSeconds()));
@@ -145,6 +155,19 @@
         }
     }
 
+    /** Whether a request or a part of one is here whose answer is not over. */
+    boolean busy() {
+        return open != null || begun;
+    }
+
+    /** Ends it at the program's end where it rests; a request that has begun to come is still answered. */
+    void end() {
+        if (!ended && !busy()) {
+            ended = true;
+            close();
+        }
+    }
+
     /** Ends it where no request is open; one that has come meanwhile is still answered. */
     void close() {
         if (begun && open == null) {
--- a/src/main/java/dunlinladder/wire/Server.java
+++ b/src/main/java/dunlinladder/wire/Server.java
@@ -108,9 +108,13 @@
         endpoint.close();
     }
 
-    /** Closes the connections on which nothing is going on; the others close after their answer. */
-    public void closeIdle() {
-        connections.values().forEach(ClientConnection::close);
+    /**
+     * Closes the connections on which nothing is going on; the others close after their answer. To be called
+     * until it returns true: none is left, nor on its way in.
+     */
+    public boolean closeIdle() {
+        connections.values().forEach(ClientConnection::end);
+        return handedOver.get() == 0 && connections.isEmpty();
     }
 
     @Override
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -43,10 +43,14 @@
     private final List<Outcome.Ending> reported = new ArrayList<>();
     /** Runs while an attempt is out. */
     private Runnable meanwhile = () -> { };
+    /** Runs while the decisions are asked. */
+    private Runnable decided = () -> { };
+    private Dispatcher dispatcher;
 
     private final Decider decider = new Decider() {
         @Override
         public Step pick(Request request) {
+            decided.run();
             return steps.remove();
         }
 
@@ -135,7 +139,8 @@
     private void take(int serviceClass) {
         Limits limits = new Limits(0, 0, 0, 0, 0, 0, 0, 10, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0.04, 0, 0,
                 0, 0, 0);
-        assertTrue(new Dispatcher(decider, engines, calls, Runnable::run, clock, limits, POLICY).take(
+        dispatcher = new Dispatcher(decider, engines, calls, Runnable::run, clock, limits, POLICY);
+        assertTrue(dispatcher.take(
                 new Request("id", serviceClass, 0, 1, 0, 10, 0, 10, clock.now() + 5, false, false, null),
                 client));
     }
@@ -186,6 +191,25 @@
         assertEquals(List.of("fail"), answers);
     }
 
+    /** The client leaves between the decision and the send, of the first attempt or of a further one. */
+    @ParameterizedTest
+    @CsvSource({"0, ''", "1, r1", "2, r1 w1"})
+    void nothingIsSentForAClientThatHasGone(int after, String attempts) {
+        list(Engine.State.ACTIVE, "r1", "w1", "m1");
+        steps.addAll(List.of(new Step.Send("r1", 0), new Step.Send("w1", 0), new Step.Send("m1", 0)));
+        endings.addAll(List.of(Ending.READ, Ending.FULL, Ending.OK));
+        decided = () -> {
+            if (sent.size() == after) {
+                dispatcher.gone("id");
+            }
+        };
+        take(LOOKUP);
+        assertEquals(attempts, String.join(" ", sent));
+        assertEquals(List.of("gone"), answers);
+        assertEquals(Ending.CONNECT_FAILED, reported.get(after), "it never went out");
+        assertEquals(0, dispatcher.active());
+    }
+
     @Test
     void whatAnEngineRejectsIsFinal() {
         list(Engine.State.ACTIVE, "m1");
