Close each connection with the answer it carries when the end comes; refuse what comes later

Change: a connection with an open request is told to close at once, and goes with its answer.

Measured: the new test fails with the program before this (the next request got its answer) and passes with it.

--- a/src/main/java/dunlinladder/wire/ClientConnection.java
+++ b/src/main/java/dunlinladder/wire/ClientConnection.java
@@ -155,16 +155,15 @@
         }
     }
 
-    /** Whether a request or a part of one is here whose answer is not over. */
-    boolean busy() {
-        return open != null || begun;
-    }
-
-    /** Ends it at the program's end where it rests; a request that has begun to come is still answered. */
+    /**
+     * Ends it at the program's end: at once where it rests, with its answer where a request is open, as the head
+     * of that answer may have gone out before and told the client nothing. A head of which a part has come is
+     * waited for; to be called until the connection has gone.
+     */
     void end() {
-        if (!ended && !busy()) {
+        if (!ended && (open != null || !begun)) {
             ended = true;
-            close();
+            session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
         }
     }
 
--- a/src/main/java/dunlinladder/wire/ServerExchange.java
+++ b/src/main/java/dunlinladder/wire/ServerExchange.java
@@ -91,8 +91,15 @@
         return !pieces.isEmpty() && System.nanoTime() - progressAt > seconds * 1e9;
     }
 
-    /** Has the core take a request, which ends with this exchange; false when its id is in use. */
+    /**
+     * Has the core take a request, which ends with this exchange; false when its id is in use. One that comes as
+     * late as the connections close is refused: where engines hang the kill would find it unanswered.
+     */
     protected final boolean take(Request core, Client client) {
+        if (closing.getAsBoolean()) {
+            client.refuse(0);
+            return true;
+        }
         requestId = core.id();
         boolean fresh = dispatcher.take(core, client);
         requestId = fresh ? requestId : null;
