--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build: the program; test: unit and integration tests; lint: style; run: one gateway from RELAY_CONFIG.
-.PHONY: build test lint run docs demo conformance bench soak regress clean
+.PHONY: build test lint run docs demo conformance bench soak regress site-files clean
 
 build:
 	mvn -q -DskipTests package
@@ -53,5 +53,10 @@
 endif
 	$(MASS) --panel brink --why "$(WHY)"
 
+# Lays the bench's own files beside the deployments of deploy/sites, which the bench reads with them.
+site-files:
+	@[ -d $(KIT)/sites ] || { echo "no bench at $(KIT): name its folder with KIT=..."; exit 1; }
+	cp -f $(KIT)/sites/real.json $(KIT)/sites/wire.json $(KIT)/sites/unlock.txt deploy/sites/
+
 clean:
 	mvn -q clean
