Take no request whose rest is read as its connection is being closed

Then the request was taken, sent on, and its answer found no connection.

Change: the look and the reading of a head exclude each other, and a body is given up by one step that its end sees.

--- a/src/main/java/dunlinladder/wire/ClientConnection.java
+++ b/src/main/java/dunlinladder/wire/ClientConnection.java
@@ -51,6 +51,10 @@
     private volatile long since = System.nanoTime();
     private volatile boolean answered;
     private volatile boolean begun;
+    /** Whether a head has been read whole whose exchange is not open yet. */
+    private volatile boolean whole;
+    /** Whether it was closed with a part of a head here: the rest no longer counts. */
+    private volatile boolean closed;
     /** Whether it was told to end with the program, which one thread does. */
     private boolean ended;
     private boolean refusing;
@@ -97,7 +101,14 @@
             }
             return null;
         }
-        HttpRequest head = parser.parse(buffer, false);
+        HttpRequest head;
+        synchronized (this) {
+            if (closed) {
+                throw new ConnectionClosedException("closed before the head was whole");
+            }
+            head = parser.parse(buffer, false);
+            whole = head != null;
+        }
         if (!begun && (head != null || parser.begun(buffer))) {
             begun = true;
             since = answered ? System.nanoTime() : since;
@@ -123,6 +134,7 @@
         }
         ServerExchange exchange = exchanges.get();
         open = exchange;
+        whole = false;
         exchange.onOver(this::over);
         return exchange;
     }
@@ -150,7 +162,7 @@
         } else if (current == null && late) {
             // Still here: the rest of a body that was refused keeps coming.
             session.close(CloseMode.GRACEFUL);
-        } else if (current != null && (late && !current.whole() || current.stalled(limits.stallSeconds()))) {
+        } else if (current != null && (late && current.expire() || current.stalled(limits.stallSeconds()))) {
             session.close(CloseMode.GRACEFUL);
         }
     }
@@ -167,9 +179,15 @@
         }
     }
 
-    /** Ends it where no request is open; one that has come meanwhile is still answered. */
+    /**
+     * Ends it where no request is open; one that has come meanwhile is still answered. A part of a head is given
+     * up, unless the rest of it is read at this very moment: closed then, its request would be sent on and lost.
+     */
     void close() {
-        if (begun && open == null) {
+        synchronized (this) {
+            closed = begun && !whole && open == null;
+        }
+        if (closed) {
             session.close(CloseMode.GRACEFUL);
         } else {
             session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
--- a/src/main/java/dunlinladder/wire/ServerExchange.java
+++ b/src/main/java/dunlinladder/wire/ServerExchange.java
@@ -46,9 +46,9 @@
     private volatile String requestId;
     private long received;
     private int counted;
-    /** Answered before its body was here, which is then read and thrown away. */
-    private boolean refused;
-    private volatile boolean whole;
+    /** Answered or given up before its body was here, which is then read and thrown away. */
+    private volatile boolean refused;
+    private boolean whole;
     private Runnable onOver = () -> { };
     private ResponseChannel response;
     private HttpContext context;
@@ -81,8 +81,14 @@
         onOver = task;
     }
 
-    /** Whether the request is here in full. */
-    final boolean whole() {
+    /** Gives up a request that is not here in full; false where it is, and then it has been taken. */
+    final synchronized boolean expire() {
+        refused |= !whole;
+        return !whole;
+    }
+
+    private synchronized boolean arrive() {
+        whole = !refused;
         return whole;
     }
 
@@ -260,8 +266,7 @@
         if ("100-continue".equalsIgnoreCase(header(head, "Expect"))) {
             channel.sendInformation(new BasicHttpResponse(100), context);
         }
-        if (entity == null) {
-            whole = true;
+        if (entity == null && arrive()) {
             received(request, new byte[0]);
         }
     }
@@ -307,8 +312,7 @@
 
     @Override
     public final void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
-        if (!refused) {
-            whole = true;
+        if (arrive()) {
             received(request, body.toByteArray());
         }
     }
--- /dev/null
+++ b/src/test/java/dunlinladder/wire/ClientConnectionTest.java
@@ -0,0 +1,61 @@
+package dunlinladder.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dunlinladder.core.Limits;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.junit.jupiter.api.Test;
+
+/** A close that another thread decides while a request's head comes. */
+class ClientConnectionTest {
+
+    private static final Limits LIMITS = new Limits(1024, 1024, 16384, 16384, 16384, 16, 4096, 10, 10, 10, 5, 10,
+            0.02, 30, 4, 0.15, 4, 0.02, 1, 2.5, 0.04, 10, 0.1, 0.6, 0.05, 0.25);
+    private static final String HEAD = "POST /v1 HTTP/1.1\nHost: x\nContent-Length: 4\n\n";
+
+    private final List<String> done = new ArrayList<>();
+    private final Input buffer = new Input();
+    private final ClientConnection connection = new ClientConnection((ProtocolIOSession) Proxy.newProxyInstance(
+            getClass().getClassLoader(), new Class<?>[] {ProtocolIOSession.class}, (proxy, method, arguments) -> {
+                done.add(method.getName());
+                return null;
+            }), LIMITS, Http1Config.DEFAULT, () -> {
+                throw new IllegalStateException("no exchange is opened here");
+            });
+
+    /** The rest comes behind the close: it must not be taken, as its answer would find no connection. */
+    @Test
+    void aHeadThatIsWholeAfterTheCloseIsNotTaken() throws Exception {
+        buffer.put(HEAD.substring(0, 30));
+        assertNull(connection.parse(buffer, false));
+        connection.close();
+        assertEquals(List.of("close"), done);
+        buffer.put(HEAD.substring(30));
+        assertThrows(ConnectionClosedException.class, () -> connection.parse(buffer, false));
+    }
+
+    /** The head is whole and its exchange not yet open: the close waits for the answer. */
+    @Test
+    void aCloseThatComesRightBehindAHeadWaitsForItsAnswer() throws Exception {
+        buffer.put(HEAD);
+        assertNotNull(connection.parse(buffer, false));
+        connection.close();
+        assertEquals(List.of("enqueue"), done);
+    }
+
+    @Test
+    void aConnectionThatRestsIsClosedInItsOwnThread() {
+        connection.close();
+        connection.end();
+        connection.end();
+        assertEquals(List.of("enqueue", "enqueue"), done);
+    }
+}
