--- a/src/test/java/dunlinladder/decision/FleetRulesTest.java
+++ b/src/test/java/dunlinladder/decision/FleetRulesTest.java
@@ -66,6 +66,27 @@
         assertTrue(fullest > 0.1, "cold engines got next to nothing: " + fullest);
     }
 
+    /**
+     * Nothing fails and no engine leaves. Where there is room and where there is not, the longest prompts get two
+     * thirds of what their class gets, and sessions that are never served are hardly more than chance gives.
+     */
+    @ParameterizedTest
+    @CsvSource({"3, 0.7", "14, 0.7", "100, 0.7", "3, 1.3", "14, 1.3", "100, 1.3"})
+    void refusalsSingleOutNeitherLongPromptsNorSessions(int gateways, double load) {
+        for (int seed = 1; seed <= 3; seed++) {
+            VirtualFleet fleet = new VirtualFleet(new VirtualFleet.Figures(settings(gateways, 0.8, 1, 4, 1.5, 14,
+                    0.26, 0.5), new int[] {6, 7, 2}, load * 6 / (0.1 * 1.4), 0.1, 2, 32, 0, 1, 1e9), seed).play(60);
+            assertEquals(List.of(), fleet.broken());
+            for (int type = 0; type < 2; type++) {
+                double[] shares = fleet.sharesOf(type);
+                assertTrue(shares[0] > (load < 1 ? 0.95 : 0.3), "of class " + type + " " + shares[0]);
+                assertTrue(shares[1] >= shares[0] * 2 / 3, "of the longest of class " + type + " " + shares[1]
+                        + ", of all " + shares[0]);
+            }
+            assertTrue(fleet.shunned() <= 0.12, "shunned " + fleet.shunned());
+        }
+    }
+
     /** Whatever the settings say within the protocol's bounds; how much is served is not asked. */
     @Property(tries = 60, seed = "20", shrinking = ShrinkingMode.OFF)
     void whateverTheSettings(@ForAll @IntRange(min = 1, max = 40) int gateways,
--- a/src/test/java/dunlinladder/decision/VirtualFleet.java
+++ b/src/test/java/dunlinladder/decision/VirtualFleet.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.stream.Collectors;
 
 /**
  * Several gateways that share nothing, their engines and their clients in virtual time: reads one at a time,
@@ -58,6 +59,9 @@
 
     private static final class Track {
         int gateway;
+        int type;
+        long session;
+        boolean served;
         Effect effect;
         double tokens;
         double expires;
@@ -137,6 +141,29 @@
         return broken.subList(0, Math.min(5, broken.size()));
     }
 
+    /** The share of a class's requests that is served, and that of the tenth of them with the longest prompts. */
+    double[] sharesOf(int type) {
+        List<Track> all = tracks.values().stream().filter(track -> track.type == type)
+                .sorted(Comparator.comparingDouble(track -> -track.tokens)).toList();
+        return new double[] {shareServed(all), shareServed(all.subList(0, all.size() / 10))};
+    }
+
+    private static double shareServed(List<Track> of) {
+        return of.stream().filter(track -> track.served).count() / (double) of.size();
+    }
+
+    /** The share of sessions none of whose requests was served, over what chance alone would give. */
+    double shunned() {
+        double missed = 1 - served / (double) requests;
+        Map<Long, List<Track>> sessions = tracks.values().stream().collect(Collectors.groupingBy(t -> t.session));
+        double shunned = 0;
+        for (List<Track> session : sessions.values()) {
+            shunned += session.stream().noneMatch(track -> track.served) ? 1 : 0;
+            shunned -= Math.pow(missed, session.size());
+        }
+        return shunned / sessions.size();
+    }
+
     private void in(double delay, Runnable task) {
         queue.add(new Due(now + delay, number++, task));
     }
@@ -158,12 +185,14 @@
         String id = "q" + requests++;
         int type = random.nextInt(settings.classes().size());
         track.gateway = (int) (gateways.size() * Math.pow(random.nextDouble(), skew));
+        track.type = type;
+        track.session = random.nextInt(200);
         track.effect = settings.classes().get(type).effect();
         track.tokens = 200 + random.nextInt(2000) * (random.nextInt(50) == 0 ? 10 : 1);
         track.expires = now + 6;
         tracks.put(id, track);
         in(6, () -> check(track.finals > 0 || track.begun, id, "has no answer by its deadline"));
-        handle(track.gateway, new Router.Arrival(new Router.Request(id, type, 0, random.nextInt(200),
+        handle(track.gateway, new Router.Arrival(new Router.Request(id, type, 0, track.session,
                 track.expires, 0, 1 + random.nextInt(5), track.tokens, 100, 100, false, false)));
         if (random.nextInt(100) == 0) {
             in(random.nextDouble() * 2, () -> leave(id, track));
@@ -312,6 +341,7 @@
                     return;
                 }
                 track.finals++;
+                track.served = true;
                 served++;
                 ended(send, track, attempt, sentAt, Status.OK, 0);
             });
--- a/src/test/java/dunlinladder/it/TogetherTest.java
+++ b/src/test/java/dunlinladder/it/TogetherTest.java
@@ -8,6 +8,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -67,6 +70,33 @@
                 .count());
     }
 
+    /** Nine in ten processes that start together are ready within 10 s, all within the limit of this class. */
+    @Test
+    void nineInTenThatStartTogetherAreReadyInTime() throws Exception {
+        List<Future<Double>> starts = new ArrayList<>();
+        ExecutorService pool = Executors.newFixedThreadPool(10);
+        for (int i = 0; i < 10; i++) {
+            starts.add(pool.submit(() -> {
+                long from = System.nanoTime();
+                Running started = first.beside();
+                synchronized (gateways) {
+                    gateways.add(started);
+                }
+                try (Browser up = new Browser(started.port).send("GET", "/up", "", "")) {
+                    assertTrue(up.head());
+                    assertEquals(200, up.status);
+                }
+                return (System.nanoTime() - from) / 1e9;
+            }));
+        }
+        int inTime = 0;
+        for (Future<Double> start : starts) {
+            inTime += start.get() <= 10 ? 1 : 0;
+        }
+        pool.shutdown();
+        assertTrue(inTime >= 9, inTime + " of 10");
+    }
+
     /** One that is killed with a read and a stream out costs its own clients alone. */
     @Test
     void oneThatIsKilledCostsItsOwnClientsAlone() throws Exception {
