--- a/src/main/java/dunlinladder/demo/Demo.java
+++ b/src/main/java/dunlinladder/demo/Demo.java
@@ -34,8 +34,8 @@
 
     private static final String KEY = "demo";
     private static final String STATE = """
-            {"serial":1,"settings":{"listen":"127.0.0.1:0","keys.DEMO_KEY.tenant":"salamanca-pages",
-            "models.shelf-lookup.class":"lookup","models.shelf-listing.class":"listing",
+            {"serial":1,"settings":{"listen":"127.0.0.1:0","keys.DEMO_KEY.tenant":"tenant-a",
+            "models.shelf-lookup.class":"repeatable","models.shelf-listing.class":"once",
             "generations.old.format":"chat","generations.old.ids":"old-.*",
             "generations.new.format":"responses","generations.new.ids":"new-.*"}}""";
 
--- a/src/main/java/dunlinladder/demo/Engine.java
+++ b/src/main/java/dunlinladder/demo/Engine.java
@@ -42,7 +42,7 @@
 
     /** Its entry in discovery's list. */
     String listed() {
-        return Sample.host(name, "127.0.0.1:" + server.getAddress().getPort(), reads ? "prompt" : "answer");
+        return Sample.host(name, "127.0.0.1:" + server.getAddress().getPort(), reads ? "reader" : "writer");
     }
 
     private void serve(HttpExchange exchange) throws IOException {
--- a/src/main/java/dunlinladder/dialect/Faults.java
+++ b/src/main/java/dunlinladder/dialect/Faults.java
@@ -201,8 +201,8 @@
 
                 The first row that fits holds. `-` stands for any, status 0 for the midst of a stream. Refused
                 is only what the engine says it did not process (`X-Not-Processed`) and of which nothing was
-                delivered; all else has failed, for a listing with the header that keeps client libraries
-                from asking again.
+                delivered; all else has failed, for what must not run twice with the header that keeps client
+                libraries from asking again.
 
                 | status | type | code | to the client | its own fault |
                 | --- | --- | --- | --- | --- |
--- a/src/main/java/dunlinladder/lifecycle/Sample.java
+++ b/src/main/java/dunlinladder/lifecycle/Sample.java
@@ -4,30 +4,31 @@
 public final class Sample {
 
     /** The one tenant. */
-    public static final String TENANT = "salamanca-pages";
+    public static final String TENANT = "tenant-a";
 
     /**
-     * The settings of a configuration: one hall, readers, writers and mixed engines, lookups and listings.
+     * The settings of a configuration: one hall, readers, writers and mixed engines, a class that may be
+     * repeated and one that must not.
      */
     public static final String SETTINGS = """
             {"balancers":1,"caps":{"connect-timeout":5,"keepalive":30.0,"max-attempts":4},"classes":[
-            {"name":"lookup","deadline":4.0,"objective":0.8,"semantics":"safe","stream":true,"worth":1.0},
-            {"name":"listing","deadline":10.0,"objective":2.0,"semantics":"unsafe","stream":true,
+            {"name":"repeatable","deadline":4.0,"objective":0.8,"semantics":"safe","stream":true,"worth":1.0},
+            {"name":"once","deadline":10.0,"objective":2.0,"semantics":"unsafe","stream":true,
             "worth":3.0}],"family-info":{"aim-us-per-1000-prompt-tokens":[60000.0,40000.0],
             "kv-tokens":[180000,150000,240000],
             "release-within":0.5,"role-by-kind":["read","write","both"],"token-aim":[0.05,0.07]},
-            "kinds":["prompt","answer","mixed"],"membership-mode":"pushed","zone":0,"zones":["cambridge-a"],
-            "projects":[{"name":"salamanca-pages","fraction":1.0,"quota-per-s":1000.0}],
+            "kinds":["reader","writer","mixed"],"membership-mode":"pushed","zone":0,"zones":["hall"],
+            "projects":[{"name":"tenant-a","fraction":1.0,"quota-per-s":1000.0}],
             "rules":{"answer-slack":0.008,"cold":14.0,"cold-from":0.26,"fall-multiple":4.0,
             "stop-sending-within":1.0,"tip-after":1.5}}""";
 
     private Sample() {
     }
 
-    /** An engine's entry in discovery's list; {@code kind} is prompt, answer or mixed. */
+    /** An engine's entry in discovery's list; {@code kind} is reader, writer or mixed. */
     public static String host(String name, String address, String kind) {
         return "{\"host\":\"" + name + "\",\"dial\":\"" + address
-                + "\",\"site\":\"cambridge-a\",\"class\":\"" + kind
+                + "\",\"site\":\"hall\",\"class\":\"" + kind
                 + "\",\"block\":1,\"health\":\"active\",\"share\":1.0,\"born_ms\":0}";
     }
 }
--- a/src/main/java/dunlinladder/lifecycle/Warm.java
+++ b/src/main/java/dunlinladder/lifecycle/Warm.java
@@ -41,8 +41,8 @@
         HttpServer reader = server("{\"cached_tokens\":4}", 202);
         HttpServer writer = server(ANSWER, 200);
         String at = "127.0.0.1:" + reader.getAddress().getPort();
-        String list = "{\"seq\":1,\"whole\":true,\"hosts\":[" + Sample.host("reader", at, "prompt") + ","
-                + Sample.host("writer", "127.0.0.1:" + writer.getAddress().getPort(), "answer") + "]}\n";
+        String list = "{\"seq\":1,\"whole\":true,\"hosts\":[" + Sample.host("reader", at, "reader") + ","
+                + Sample.host("writer", "127.0.0.1:" + writer.getAddress().getPort(), "writer") + "]}\n";
         reader.createContext("/discovery/hosts", exchange -> {
             exchange.sendResponseHeaders(200, 0);
             exchange.getResponseBody().write(list.getBytes(StandardCharsets.UTF_8));
@@ -80,7 +80,7 @@
                 + "/v1/chat/completions").openConnection();
         connection.setRequestMethod("POST");
         connection.setDoOutput(true);
-        Map.of("X-Request-ID", "warm-" + round, "X-Priority-Class", round % 2 == 0 ? "lookup" : "listing",
+        Map.of("X-Request-ID", "warm-" + round, "X-Priority-Class", round % 2 == 0 ? "repeatable" : "once",
                 "X-Tenant-Id", Sample.TENANT, "X-Route-Key", "k" + round % 5, "X-Timeout", "4.0", "X-Attrs",
                 "prefix=5c0f,prompt_len=120,prefix_len=20,max_out=80")
                         .forEach(connection::setRequestProperty);
--- a/src/main/java/dunlinladder/wire/chat/ChatExchange.java
+++ b/src/main/java/dunlinladder/wire/chat/ChatExchange.java
@@ -498,7 +498,7 @@
         });
     }
 
-    /** Client libraries repeat a 5xx by themselves; this header keeps them from running a listing twice. */
+    /** Client libraries repeat a 5xx by themselves; this header keeps them from running a request twice. */
     private void fail(ChatError error) {
         boolean once = shared.settings.once().get(request.kind().serviceClass());
         answer(error.status(format), JSON, error.json(format), once ? Map.of("X-Should-Retry", "false")
