Bound the wait for clients' connections at the end

Need, from reading the change again: the end waited for the last connection without a bound of its own; one that the server forgot would have kept the process for good. CrossingsTest passes.

--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -222,9 +222,14 @@
         for (Server each : servers) {
             each.stopListening();
         }
-        // Requests that are still on their way in, answers on their way out; and what is held at engines for a
-        // request outlives its answer until a release has arrived.
-        while (!allClosed() || dispatcher.active() > 0 || client.releasing() > 0) {
+        // What is held at engines for a request outlives its answer until a release has arrived.
+        while (dispatcher.active() > 0 || client.releasing() > 0) {
+            closeIdle();
+            Thread.sleep(20);
+        }
+        // Requests that are still on their way in, answers on their way out: each has its own bound under this.
+        long until = System.nanoTime() + (long) (limits.stallSeconds() * 1e9);
+        while (!closeIdle() && System.nanoTime() < until) {
             Thread.sleep(20);
         }
         servers.forEach(Server::close);
@@ -232,11 +237,12 @@
         return true;
     }
 
-    private boolean allClosed() {
-        boolean all = true;
+    /** Closes what rests, true when no client's connection is left. */
+    private boolean closeIdle() {
+        boolean none = true;
         for (Server each : servers) {
-            all &= each.closeIdle();
+            none &= each.closeIdle();
         }
-        return all;
+        return none;
     }
 }
