--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -227,7 +227,8 @@
             closeIdle();
             Thread.sleep(20);
         }
-        // Requests that are still on their way in, answers on their way out: each has its own bound under this.
+        // Requests that are still on their way in, answers on their way out: each has its own bound under
+        // this.
         long until = System.nanoTime() + (long) (limits.stallSeconds() * 1e9);
         while (!closeIdle() && System.nanoTime() < until) {
             Thread.sleep(20);
--- a/src/main/java/dunlinladder/membership/Following.java
+++ b/src/main/java/dunlinladder/membership/Following.java
@@ -173,7 +173,8 @@
 
     /** Clock time of the next {@link Event.Tick} that would do something; infinite when none would. */
     public double wake() {
-        double wake = address == null ? Double.POSITIVE_INFINITY : openAt(links, address, timing, retryAt, moved);
+        double wake = address == null ? Double.POSITIVE_INFINITY : openAt(links, address, timing, retryAt,
+                moved);
         for (Link link : links) {
             wake = Math.min(wake, link.until(timing));
             if (!Double.isNaN(link.behindAt)) {
--- a/src/main/java/dunlinladder/membership/Timing.java
+++ b/src/main/java/dunlinladder/membership/Timing.java
@@ -63,8 +63,8 @@
         // All that are raced have failed by the time at which one that is connected would have.
         double race = 0.3;
         if (!pushed) {
-            return new Timing(race, answer - (LINKS - 1) * race, answer, turn, silence, BEAT_LATE, 0.2, pause, 10,
-                    LINKS, false);
+            return new Timing(race, answer - (LINKS - 1) * race, answer, turn, silence, BEAT_LATE, 0.2, pause,
+                    10, LINKS, false);
         }
         // Half of the rule's time until another call is made, a quarter for a pause, the rest to hear of it.
         double stop = Math.max(STOP_LEAST, stopSeconds);
--- a/src/main/java/dunlinladder/wire/ClientConnection.java
+++ b/src/main/java/dunlinladder/wire/ClientConnection.java
@@ -94,8 +94,8 @@
             throw new ConnectionClosedException("closed by the client");
         }
         if (refusing) {
-            // What was sent without waiting for answers is read and dropped. Were it left unread, the client's
-            // end would stand behind it, and the request that was taken would run on unheard.
+            // What was sent without waiting for answers is read and dropped. Were it left unread, the
+            // client's end would stand behind it, and the request that was taken would run on unheard.
             while (buffer.hasData()) {
                 buffer.read(dropped.clear());
             }
@@ -168,9 +168,9 @@
     }
 
     /**
-     * Ends it at the program's end: at once where it rests, with its answer where a request is open, as the head
-     * of that answer may have gone out before and told the client nothing. A head of which a part has come is
-     * waited for; to be called until the connection has gone.
+     * Ends it at the program's end: at once where it rests, with its answer where a request is open, as the
+     * head of that answer may have gone out before and told the client nothing. A head of which a part has
+     * come is waited for; to be called until the connection has gone.
      */
     void end() {
         if (!ended && (open != null || !begun)) {
@@ -180,8 +180,9 @@
     }
 
     /**
-     * Ends it where no request is open; one that has come meanwhile is still answered. A part of a head is given
-     * up, unless the rest of it is read at this very moment: closed then, its request would be sent on and lost.
+     * Ends it where no request is open; one that has come meanwhile is still answered. A part of a head is
+     * given up, unless the rest of it is read at this very moment: closed then, its request would be sent on
+     * and lost.
      */
     void close() {
         synchronized (this) {
--- a/src/main/java/dunlinladder/wire/ServerExchange.java
+++ b/src/main/java/dunlinladder/wire/ServerExchange.java
@@ -98,8 +98,9 @@
     }
 
     /**
-     * Has the core take a request, which ends with this exchange; false when its id is in use. One that comes as
-     * late as the connections close is refused: where engines hang the kill would find it unanswered.
+     * Has the core take a request, which ends with this exchange; false when its id is in use. One that
+     * comes as late as the connections close is refused: where engines hang the kill would find it
+     * unanswered.
      */
     protected final boolean take(Request core, Client client) {
         if (closing.getAsBoolean()) {
--- a/src/test/java/dunlinladder/decision/FleetRulesTest.java
+++ b/src/test/java/dunlinladder/decision/FleetRulesTest.java
@@ -50,14 +50,17 @@
      * engines back at once.
      */
     @ParameterizedTest
-    @CsvSource({"1, 4, 0.26", "3, 4, 0.26", "14, 4, 0.26", "20, 4, 0.26", "30, 4, 0.26", "100, 4, 0.26", "1, 2, 0.1",
+    @CsvSource({"1, 4, 0.26", "3, 4, 0.26", "14, 4, 0.26", "20, 4, 0.26", "30, 4, 0.26", "100, 4, 0.26",
+    "1, 2, 0.1",
         "3, 2, 0.1", "14, 2, 0.1", "20, 2, 0.1", "30, 2, 0.1", "100, 2, 0.1"})
     void allTogetherKeepAColdEnginesBudget(int gateways, double multiple, double from) {
         double fullest = 0;
         for (int seed = 1; seed <= 4; seed++) {
             for (double skew : new double[] {1, 2, 4}) {
-                VirtualFleet fleet = new VirtualFleet(new VirtualFleet.Figures(settings(gateways, 0.8, 1, multiple,
-                        1.5, 14, from, 0.5), new int[] {6, 7, 2}, 0.8 * 6 / (0.1 * 1.4), 0.1, 2, 32, 0.01, 1, 1e9),
+                VirtualFleet fleet = new VirtualFleet(new VirtualFleet.Figures(settings(gateways, 0.8, 1,
+                        multiple,
+                        1.5, 14, from, 0.5), new int[] {6, 7, 2}, 0.8 * 6 / (0.1 * 1.4), 0.1, 2, 32, 0.01, 1,
+                        1e9),
                         seed).uneven(skew).returning(6, 2).restarting(9.5, 0.5).play(25);
                 assertEquals(List.of(), fleet.broken());
                 fullest = Math.max(fullest, fleet.fullest);
@@ -67,15 +70,18 @@
     }
 
     /**
-     * Nothing fails and no engine leaves. Where there is room and where there is not, the longest prompts get two
-     * thirds of what their class gets, and sessions that are never served are hardly more than chance gives.
+     * Nothing fails and no engine leaves. Where there is room and where there is not, the longest prompts
+     * get two thirds of what their class gets, and sessions that are never served are hardly more than
+     * chance gives.
      */
     @ParameterizedTest
     @CsvSource({"3, 0.7", "14, 0.7", "100, 0.7", "3, 1.3", "14, 1.3", "100, 1.3"})
     void refusalsSingleOutNeitherLongPromptsNorSessions(int gateways, double load) {
         for (int seed = 1; seed <= 3; seed++) {
-            VirtualFleet fleet = new VirtualFleet(new VirtualFleet.Figures(settings(gateways, 0.8, 1, 4, 1.5, 14,
-                    0.26, 0.5), new int[] {6, 7, 2}, load * 6 / (0.1 * 1.4), 0.1, 2, 32, 0, 1, 1e9), seed).play(60);
+            VirtualFleet fleet = new VirtualFleet(new VirtualFleet.Figures(settings(gateways, 0.8, 1, 4, 1.5,
+                    14,
+                    0.26, 0.5), new int[] {6, 7, 2}, load * 6 / (0.1 * 1.4), 0.1, 2, 32, 0, 1, 1e9),
+                    seed).play(60);
             assertEquals(List.of(), fleet.broken());
             for (int type = 0; type < 2; type++) {
                 double[] shares = fleet.sharesOf(type);
--- a/src/test/java/dunlinladder/decision/VirtualFleet.java
+++ b/src/test/java/dunlinladder/decision/VirtualFleet.java
@@ -141,7 +141,10 @@
         return broken.subList(0, Math.min(5, broken.size()));
     }
 
-    /** The share of a class's requests that is served, and that of the tenth of them with the longest prompts. */
+    /**
+     * The share of a class's requests that is served, and that of the tenth of them with the longest
+     * prompts.
+     */
     double[] sharesOf(int type) {
         List<Track> all = tracks.values().stream().filter(track -> track.type == type)
                 .sorted(Comparator.comparingDouble(track -> -track.tokens)).toList();
@@ -155,7 +158,8 @@
     /** The share of sessions none of whose requests was served, over what chance alone would give. */
     double shunned() {
         double missed = 1 - served / (double) requests;
-        Map<Long, List<Track>> sessions = tracks.values().stream().collect(Collectors.groupingBy(t -> t.session));
+        Map<Long, List<Track>> sessions = tracks.values().stream().collect(Collectors.groupingBy(t ->
+                t.session));
         double shunned = 0;
         for (List<Track> session : sessions.values()) {
             shunned += session.stream().noneMatch(track -> track.served) ? 1 : 0;
@@ -368,7 +372,10 @@
 
     // ---- Changes of the fleet ----
 
-    /** Has the first gateways see several times the mean; held to the budget with what is put down to chance. */
+    /**
+     * Has the first gateways see several times the mean; held to the budget with what is put down to
+     * chance.
+     */
     VirtualFleet uneven(double to) {
         skew = to;
         byChance = true;
--- a/src/test/java/dunlinladder/it/CrossingsTest.java
+++ b/src/test/java/dunlinladder/it/CrossingsTest.java
@@ -48,7 +48,8 @@
 
     /** Its end stands behind requests that are not read, and the one that was taken would run on unheard. */
     @ParameterizedTest
-    @CsvSource({"0, false", "1, false", "2, false", "50, false", "2000, false", "0, true", "2, true", "50, true"})
+    @CsvSource({"0, false", "1, false", "2, false", "50, false", "2000, false", "0, true", "2, true",
+    "50, true"})
     void whoSendsMoreThanOneAndLeavesEndsItsAttempt(int more, boolean reset) throws Exception {
         try (Browser hasty = running.post(id, "listing", "600.0", "hang-reader")) {
             for (int i = 0; i < more; i++) {
@@ -71,14 +72,15 @@
     }
 
     /**
-     * The other half of a request comes once the gateway has been told to end and has closed what rests: it is
-     * refused, which is honest, as no engine has seen it; taken, it might be open at the kill. A program that did
-     * not wait for it would have ended long before the time that is waited here.
+     * The other half of a request comes once the gateway has been told to end and has closed what rests: it
+     * is refused, which is honest, as no engine has seen it; taken, it might be open at the kill. A program
+     * that did not wait for it would have ended long before the time that is waited here.
      */
     @ParameterizedTest
     @ValueSource(ints = {1, 60, 520})
     void aRequestThatIsHalfHereAtTheEndIsAnswered(int before) throws Exception {
-        String request = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + Running.headers(id, "lookup", "4.0")
+        String request = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + Running.headers(id, "lookup",
+                "4.0")
                 + "Content-Length: 400\r\n\r\n" + "x".repeat(400);
         try (Browser slow = new Browser(running.port); Browser resting = new Browser(running.port);
                 Browser up = new Browser(running.port)) {
@@ -104,8 +106,9 @@
     }
 
     /**
-     * The heads of these streams went out before the end was told and promise nothing; each client sends its next
-     * request as soon as it has the last chunk. Taken, it would be lost where engines hang until the kill.
+     * The heads of these streams went out before the end was told and promise nothing; each client sends its
+     * next request as soon as it has the last chunk. Taken, it would be lost where engines hang until the
+     * kill.
      */
     @Test
     void aStreamThatEndsAfterTheEndWasToldTakesItsConnectionAlong() throws Exception {
@@ -123,7 +126,8 @@
             for (Browser each : streaming) {
                 assertTrue(each.body().endsWith("[DONE]\n\n"));
                 try {
-                    each.send("POST", "/v1/chat/completions", Running.headers(Running.freshId(), "listing", "9.0"),
+                    each.send("POST", "/v1/chat/completions", Running.headers(Running.freshId(), "listing",
+                            "9.0"),
                             "next");
                     assertFalse(each.head());
                 } catch (SocketException e) {
@@ -136,8 +140,8 @@
     }
 
     /**
-     * Requests come on resting connections all through the moments in which these are closed: each is answered
-     * whole, or its connection ends and no engine has seen it, so that its client may send it again.
+     * Requests come on resting connections all through the moments in which these are closed: each is
+     * answered whole, or its connection ends and no engine has seen it, so that its client may send it again.
      */
     @Test
     void aRequestInTheMomentOfACloseIsAnsweredOrNeverSentOn() throws Exception {
@@ -160,7 +164,8 @@
                     Thread.onSpinWait();
                 }
                 try (browser) {
-                    browser.send("POST", "/v1/chat/completions", Running.headers(own, "lookup", "4.0"), "moment");
+                    browser.send("POST", "/v1/chat/completions", Running.headers(own, "lookup", "4.0"),
+                            "moment");
                     if (browser.head() && browser.body().endsWith("[DONE]\n\n")) {
                         return;
                     }
@@ -188,7 +193,8 @@
             assertTrue(browser.head());
             StringBuilder seen = new StringBuilder();
             for (int i = 1; i < 20; i++) {
-                String event = i == 1 ? StandIn.delta("one", "null") : StandIn.delta("step " + (i - 1), "null");
+                String event = i == 1 ? StandIn.delta("one", "null") : StandIn.delta("step " + (i - 1),
+                        "null");
                 while (!seen.toString().endsWith(event)) {
                     int next = browser.socket.getInputStream().read();
                     assertTrue(next >= 0, "ended after " + seen);
@@ -204,8 +210,8 @@
     }
 
     /**
-     * Clients that rest, say nothing or half a head take every descriptor meant for clients while discovery is
-     * down: at its return its news is heard, engines are reached and later clients served.
+     * Clients that rest, say nothing or half a head take every descriptor meant for clients while discovery
+     * is down: at its return its news is heard, engines are reached and later clients served.
      */
     @Test
     void descriptorsTakenWhileDiscoveryIsDownCostNobodyElse() throws Exception {
--- a/src/test/java/dunlinladder/it/Running.java
+++ b/src/test/java/dunlinladder/it/Running.java
@@ -56,7 +56,10 @@
         this(environment, state, more, null, 1024);
     }
 
-    /** A gateway that may have so many descriptors and cannot have more, but for what the tests' many jars take. */
+    /**
+     * A gateway that may have so many descriptors and cannot have more, but for what the tests' many jars
+     * take.
+     */
     static Running withDescriptors(int most) throws IOException {
         return new Running(Map.of(), null, Map.of(), null, most);
     }
@@ -77,8 +80,10 @@
         config = Files.createTempFile("gateway", ".json");
         configure(discovery.address(), SETTINGS);
         ProcessBuilder builder = new ProcessBuilder(List.of("sh", "-c", "ulimit -n " + (descriptors + JARS)
-                + " && exec \"$0\" \"$@\"", Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx64m", "-cp", System.getProperty("java.class.path"), "dunlinladder.lifecycle.Main", "serve",
+                + " && exec \"$0\" \"$@\"", Path.of(System.getProperty("java.home"), "bin",
+                "java").toString(),
+                "-Xmx64m", "-cp", System.getProperty("java.class.path"), "dunlinladder.lifecycle.Main",
+                "serve",
                 "--state", String.valueOf(state)));
         builder.environment().putAll(environment);
         builder.environment().putAll(Map.of("RELAY_LISTEN", "127.0.0.1:0", "RELAY_DISCOVERY",
--- a/src/test/java/dunlinladder/it/TogetherTest.java
+++ b/src/test/java/dunlinladder/it/TogetherTest.java
@@ -70,7 +70,10 @@
                 .count());
     }
 
-    /** Nine in ten processes that start together are ready within 10 s, all within the limit of this class. */
+    /**
+     * Nine in ten processes that start together are ready within 10 s, all within the limit of this
+     * class.
+     */
     @Test
     void nineInTenThatStartTogetherAreReadyInTime() throws Exception {
         List<Future<Double>> starts = new ArrayList<>();
