Log and count what the incident lacked: connects that fail, releases, refusals, clock steps

Change: attempts that were not sent, broke, timed out or brought an error, rejections and failures with their attempts, connects that did not come up with their time by the monotonic clock, releases begun and taken are logged at info; counts of all of them every 10 s; a step of the wall clock is told. No decision changes.

--- a/src/main/java/dunlinladder/core/AttemptRunner.java
+++ b/src/main/java/dunlinladder/core/AttemptRunner.java
@@ -3,17 +3,22 @@
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** Makes one attempt at a time for a request: checks that it may be made, sends it, waits for its end, reports it. */
 final class AttemptRunner {
 
     private static final Logger LOG = LoggerFactory.getLogger(AttemptRunner.class);
+    private static final String ENDED_FORMAT = "event=attempt_ended request={} class={} attempt={} engine={} "
+            + "prefill_only={} engine_age={} outcome={} seconds={} since_arrival={} first_token={} prompt={} prefix={} "
+            + "cached={}";
 
     private final RequestRouter router;
     private final EngineRegistry engines;
     private final EngineTransport transport;
     private final Clock clock;
     private final Dispatcher.Settings settings;
+    private final Counters counters;
 
     /**
      * When the first token of one attempt came. The transport's thread writes it before the attempt ends, the driving
@@ -40,13 +45,14 @@
             RequestRouter router,
             EngineRegistry engines,
             EngineTransport transport,
-            Clock clock,
+            Instruments instruments,
             Dispatcher.Settings settings) {
         this.router = router;
         this.engines = engines;
         this.transport = transport;
-        this.clock = clock;
+        this.clock = instruments.clock();
         this.settings = settings;
+        this.counters = instruments.counters();
     }
 
     /** Makes one attempt; true when nothing is owed to the client any more. */
@@ -65,6 +71,7 @@
             return endNotSent(request, attempt);
         }
         FirstTokenTime firstToken = new FirstTokenTime();
+        counters.increment(Counter.ATTEMPTS);
         Optional<EngineTransport.Call> call = send(request, attempt, firstToken);
         if (call.isEmpty()) {
             return endNotSent(request, attempt);
@@ -72,6 +79,7 @@
         Outcome outcome = call.get().await();
         double endedAt = clock.now();
         request.history().recordEnd(outcome, endedAt);
+        count(outcome);
         logEnded(request, attempt, outcome, sentAt, endedAt, firstToken);
         return conclude(request, attempt, outcome, firstToken.isSet());
     }
@@ -113,6 +121,13 @@
     private boolean endNotSent(InFlightRequest request, Attempt attempt) {
         boolean disconnected = request.isDisconnected();
         Outcome outcome = Outcome.of(Outcome.Ending.CONNECT_FAILED);
+        count(outcome);
+        LOG.info(
+                "event=attempt_refused request={} attempt={} engine={} client_gone={}",
+                attempt.request().id(),
+                attempt.number(),
+                attempt.engine().id(),
+                disconnected);
         request.history().recordEnd(outcome, clock.now());
         router.attemptEnded(attempt, outcome, disconnected);
         return disconnected;
@@ -145,6 +160,25 @@
                 request.history().logText());
     }
 
+    private void count(Outcome outcome) {
+        switch (outcome.ending()) {
+            case CONNECT_FAILED -> counters.increment(Counter.ATTEMPTS_NOT_SENT);
+            case RESET -> counters.increment(Counter.ATTEMPTS_RESET);
+            case TIMEOUT -> counters.increment(Counter.ATTEMPTS_TIMED_OUT);
+            default -> {
+                // Ordinary ends are counted by the requests.
+            }
+        }
+    }
+
+    /** Whether an attempt ended in a way that its request's story needs, at a level that is on in service. */
+    private static boolean isUnusual(Outcome outcome) {
+        return switch (outcome.ending()) {
+            case CONNECT_FAILED, RESET, TIMEOUT, ERROR -> true;
+            default -> false;
+        };
+    }
+
     /** What is needed to count across a fleet; deploy/fleet-counts.py reads it. */
     private static void logEnded(
             InFlightRequest inFlight,
@@ -153,26 +187,26 @@
             double sentAt,
             double endedAt,
             FirstTokenTime firstToken) {
-        if (!LOG.isDebugEnabled()) {
+        if (!LOG.isDebugEnabled() && !isUnusual(outcome)) {
             return;
         }
         Request request = attempt.request();
         Engine engine = attempt.engine();
-        LOG.debug(
-                "event=attempt_ended request={} class={} attempt={} engine={} prefill_only={} engine_age={} outcome={} "
-                        + "seconds={} since_arrival={} first_token={} prompt={} prefix={} cached={}",
-                request.id(),
-                request.serviceClass(),
-                attempt.number(),
-                engine.id(),
-                !attempt.mayHaveEffect(),
-                engine.startedAt() > 0 ? (long) (endedAt - engine.startedAt()) : "-",
-                outcome.ending(),
-                Seconds.text(endedAt - sentAt),
-                Seconds.text(sentAt - inFlight.acceptedAt()),
-                firstToken.logTextSince(inFlight.acceptedAt()),
-                (long) request.promptTokens(),
-                (long) request.prefixTokens(),
-                (long) outcome.note());
+        LOG.atLevel(isUnusual(outcome) ? Level.INFO : Level.DEBUG)
+                .log(
+                        ENDED_FORMAT,
+                        request.id(),
+                        request.serviceClass(),
+                        attempt.number(),
+                        engine.id(),
+                        !attempt.mayHaveEffect(),
+                        engine.startedAt() > 0 ? (long) (endedAt - engine.startedAt()) : "-",
+                        outcome.ending(),
+                        Seconds.text(endedAt - sentAt),
+                        Seconds.text(sentAt - inFlight.acceptedAt()),
+                        firstToken.logTextSince(inFlight.acceptedAt()),
+                        (long) request.promptTokens(),
+                        (long) request.prefixTokens(),
+                        (long) outcome.note());
     }
 }
--- /dev/null
+++ b/src/main/java/dunlinladder/core/Counter.java
@@ -0,0 +1,40 @@
+package dunlinladder.core;
+
+import java.util.Locale;
+
+/** What a gateway counts from its start on; the names in the log are these in lower case. */
+public enum Counter {
+    /** Requests that were accepted. */
+    REQUESTS,
+    /** Requests that were answered as rejected. */
+    REQUESTS_REJECTED,
+    /** Requests that were answered as failed. */
+    REQUESTS_FAILED,
+    /** Requests whose client left before the answer. */
+    CLIENTS_GONE,
+    /** Attempts that were handed to the transport. */
+    ATTEMPTS,
+    /** Attempts that ended before their last byte was written. */
+    ATTEMPTS_NOT_SENT,
+    /** Attempts whose connection broke. */
+    ATTEMPTS_RESET,
+    /** Attempts that brought no first token in time. */
+    ATTEMPTS_TIMED_OUT,
+    /** Connections to engines that were asked for. */
+    CONNECTS,
+    /** Connections to engines that did not come up in time. */
+    CONNECTS_TIMED_OUT,
+    /** Connections to engines that failed otherwise. */
+    CONNECTS_FAILED,
+    /** Releases of a KV cache that were begun. */
+    RELEASES,
+    /** Releases that no engine took. */
+    RELEASES_FAILED,
+    /** Steps of the machine's wall clock. */
+    WALL_CLOCK_STEPS;
+
+    /** Its name in the log. */
+    String logName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -19,6 +19,7 @@
     private final Executor executor;
     private final Clock clock;
     private final Settings settings;
+    private final Counters counters;
     private final AttemptRunner attempts;
     private final Map<String, InFlightRequest> inFlight = new ConcurrentHashMap<>();
 
@@ -37,13 +38,14 @@
             EngineRegistry engines,
             EngineTransport transport,
             Executor executor,
-            Clock clock,
+            Instruments instruments,
             Settings settings) {
         this.router = router;
         this.executor = executor;
-        this.clock = clock;
+        this.clock = instruments.clock();
         this.settings = settings;
-        this.attempts = new AttemptRunner(router, engines, transport, clock, settings);
+        this.counters = instruments.counters();
+        this.attempts = new AttemptRunner(router, engines, transport, instruments, settings);
     }
 
     /** The number of requests in flight. */
@@ -61,6 +63,7 @@
         if (inFlight.putIfAbsent(request.id(), accepted) != null) {
             return false;
         }
+        counters.increment(Counter.REQUESTS);
         try {
             if (inFlight.size() > settings.maxRequests()) {
                 throw new RejectedExecutionException("over " + settings.maxRequests() + " requests");
@@ -68,6 +71,7 @@
             executor.execute(() -> drive(accepted));
         } catch (RejectedExecutionException e) {
             inFlight.remove(request.id());
+            counters.increment(Counter.REQUESTS_REJECTED);
             LOG.warn("event=request_not_accepted request={} reason=\"{}\"", request.id(), e.getMessage());
             client.reject(RoutingDecision.NO_ADVICE);
         }
@@ -78,6 +82,8 @@
     public void clientDisconnected(String id) {
         InFlightRequest request = inFlight.get(id);
         if (request != null) {
+            counters.increment(Counter.CLIENTS_GONE);
+            LOG.debug("event=client_gone request={}", id);
             request.disconnect();
             router.clientDisconnected(id);
         }
@@ -124,6 +130,7 @@
         if (decision instanceof RoutingDecision.Reject reject) {
             reject(request, reject);
         } else if (decision instanceof RoutingDecision.Fail) {
+            counters.increment(Counter.REQUESTS_FAILED);
             logFinalAnswer("request_failed", request);
             request.client().fail(failure(request.history()));
         }
@@ -145,18 +152,21 @@
                     history.logText());
             inFlightRequest.client().fail(failure(history));
         } else {
+            counters.increment(Counter.REQUESTS_REJECTED);
             logFinalAnswer("request_rejected", inFlightRequest);
             inFlightRequest.client().reject(reject.retryAfter());
         }
     }
 
-    private static void logFinalAnswer(String event, InFlightRequest request) {
-        if (LOG.isDebugEnabled()) {
-            LOG.debug(
-                    "event={} request={} class={} attempts={}",
+    private void logFinalAnswer(String event, InFlightRequest request) {
+        if (LOG.isInfoEnabled()) {
+            LOG.info(
+                    "event={} request={} class={} seconds={} left={} attempts={}",
                     event,
                     request.request().id(),
                     request.request().serviceClass(),
+                    Seconds.text(clock.now() - request.acceptedAt()),
+                    Seconds.text(request.request().deadline() - clock.now()),
                     request.history().logText());
         }
     }
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -42,6 +42,7 @@
     /** Between two closings of the connections to engines that were idle too long. */
     private static final long ENGINE_SWEEP_INTERVAL_SECONDS = 1;
 
+    private static final long COUNTERS_INTERVAL_SECONDS = 10;
     private static final long MIGRATION_INTERVAL_SECONDS = 1;
     private static final long DISCOVERY_CHECK_INTERVAL_SECONDS = 1;
     /** Between two looks at whether the last requests or connections have ended. */
@@ -53,6 +54,7 @@
     private final ScheduledExecutorService timer =
             Executors.newSingleThreadScheduledExecutor(task -> DaemonThreads.create(task, "timer"));
     private final GatewayAssembly parts;
+    private final WallClockMonitor wallClockMonitor;
     private volatile LifecycleState state = LifecycleState.STARTING;
 
     /**
@@ -66,6 +68,7 @@
         this.chat = chat;
         this.limits = config.limits();
         parts = new GatewayAssembly(config, chat, timer, () -> state);
+        wallClockMonitor = new WallClockMonitor(System::currentTimeMillis, System::nanoTime, parts.counters());
         scheduleRecurringTasks();
     }
 
@@ -75,6 +78,11 @@
                 0,
                 (long) (limits.schedulingLagCheckSeconds() * MICROS_PER_SECOND),
                 TimeUnit.MICROSECONDS);
+        timer.scheduleWithFixedDelay(
+                new CountersLog(parts.counters()),
+                COUNTERS_INTERVAL_SECONDS,
+                COUNTERS_INTERVAL_SECONDS,
+                TimeUnit.SECONDS);
         Clock clock = parts.clock();
         parts.eligibility()
                 .ifPresent(eligibility -> timer.scheduleWithFixedDelay(
@@ -95,6 +103,7 @@
     }
 
     private void checkSchedulingLag() {
+        wallClockMonitor.check();
         parts.lagMonitor().probe();
         parts.router().admitQueued();
     }
@@ -185,6 +194,7 @@
         awaitClientConnections();
         parts.fronts().forEach(HttpListener::close);
         state = LifecycleState.CLOSED;
+        LOG.info("event=counters {}", parts.counters().logText());
         LOG.info("event=stopped");
         return true;
     }
--- a/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
@@ -1,9 +1,11 @@
 package dunlinladder.lifecycle;
 
 import dunlinladder.core.Clock;
+import dunlinladder.core.Counters;
 import dunlinladder.core.Dispatcher;
 import dunlinladder.core.Engine;
 import dunlinladder.core.EngineRegistry;
+import dunlinladder.core.Instruments;
 import dunlinladder.core.Limits;
 import dunlinladder.core.SendGuard;
 import dunlinladder.membership.EndpointUpdate;
@@ -50,6 +52,8 @@
     private final GatewayConfig config;
     private final Limits limits;
     private final Clock clock = new Clock();
+    private final Counters counters = new Counters();
+    private final Instruments instruments = new Instruments(clock, counters);
     private final EngineRegistry engines = new EngineRegistry();
     /** Bytes of request bodies that both fronts hold now. */
     private final AtomicLong bodyBytes = new AtomicLong();
@@ -90,9 +94,9 @@
         endpointListReader =
                 new EndpointListReader(config.names().zones(), config.names().kinds());
         cachedEndpoints = readCachedEndpoints(config);
-        engineConnections = new EngineConnectionPool(limits, timer);
+        engineConnections = new EngineConnectionPool(limits, timer, counters);
         SendGuard sendGuard = new SendGuard(engines, clock, limits.sendGuardSeconds());
-        engineClient = new EngineClient(engineConnections, engines, sendGuard, clock, limits, timer);
+        engineClient = new EngineClient(engineConnections, engines, sendGuard, instruments, limits, timer);
         lagMonitor = new SchedulingLagMonitor(engineConnections);
         router = createRouter();
         dispatcher = new Dispatcher(
@@ -100,7 +104,7 @@
                 engines,
                 engineClient,
                 createRequestThreads(),
-                clock,
+                instruments,
                 new Dispatcher.Settings(
                         limits.requests(), limits.answerMarginSeconds(), new ConfiguredServiceRules(config.routing())));
         eligibility = chat.map(front -> createEligibility(front.settings()));
@@ -205,6 +209,10 @@
         return clock;
     }
 
+    Counters counters() {
+        return counters;
+    }
+
     EngineConnectionPool engineConnections() {
         return engineConnections;
     }
--- a/src/main/java/dunlinladder/transport/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineClient.java
@@ -1,10 +1,12 @@
 package dunlinladder.transport.engine;
 
 import dunlinladder.core.Attempt;
-import dunlinladder.core.Clock;
+import dunlinladder.core.Counter;
+import dunlinladder.core.Counters;
 import dunlinladder.core.Engine;
 import dunlinladder.core.EngineRegistry;
 import dunlinladder.core.EngineTransport;
+import dunlinladder.core.Instruments;
 import dunlinladder.core.Limits;
 import dunlinladder.core.ReleaseOrder;
 import dunlinladder.core.ResponseSink;
@@ -14,13 +16,18 @@
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The engines over HTTP: sends attempts and releases. All methods may be called by any thread. */
 public final class EngineClient implements EngineTransport {
 
+    private static final Logger LOG = LoggerFactory.getLogger(EngineClient.class);
+
     private final EngineCallContext context;
     private final EngineRegistry engines;
     private final ScheduledExecutorService timer;
+    private final Counters counters;
     private final AtomicInteger openReleases = new AtomicInteger();
 
     /**
@@ -34,12 +41,13 @@
             EngineConnectionPool connections,
             EngineRegistry engines,
             SendGuard sendGuard,
-            Clock clock,
+            Instruments instruments,
             Limits limits,
             ScheduledExecutorService timer) {
-        this.context = new EngineCallContext(connections, sendGuard, clock, limits);
+        this.context = new EngineCallContext(connections, sendGuard, instruments.clock(), limits);
         this.engines = engines;
         this.timer = timer;
+        this.counters = instruments.counters();
     }
 
     @Override
@@ -56,8 +64,16 @@
         Collections.shuffle(listed);
         List<Engine> order = ReleaseOrder.of(listed, connections.lastResponses());
         openReleases.incrementAndGet();
-        new ReleaseChain(connections, timer, context.limits(), id, order.iterator(), openReleases::decrementAndGet)
-                .start();
+        counters.increment(Counter.RELEASES);
+        LOG.info("event=release_begun request={} engines={}", id, order.size());
+        new ReleaseChain(connections, timer, context.limits(), id, order.iterator(), this::releaseEnded).start();
+    }
+
+    private void releaseEnded(boolean taken) {
+        openReleases.decrementAndGet();
+        if (!taken) {
+            counters.increment(Counter.RELEASES_FAILED);
+        }
     }
 
     /** How many releases no engine has taken yet and are still being tried. */
--- a/src/main/java/dunlinladder/transport/engine/EngineConnectionPool.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineConnectionPool.java
@@ -1,12 +1,17 @@
 package dunlinladder.transport.engine;
 
+import dunlinladder.core.Counter;
+import dunlinladder.core.Counters;
 import dunlinladder.core.Limits;
+import dunlinladder.core.Seconds;
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.nio.channels.SocketChannel;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
@@ -38,20 +43,23 @@
     private static final int SELECT_INTERVAL_MILLIS = 50;
     private static final double MILLIS_PER_SECOND = 1e3;
     private static final double MICROS_PER_SECOND = 1e6;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final HttpAsyncRequester requester;
     private final StrictConnPool<HttpHost, IOSession> pool;
     private final Limits limits;
     private final Timeout connectTimeout;
     private final ScheduledExecutorService timer;
+    private final Counters counters;
     private final ReuseSuspension reuseSuspension;
     private final LastResponses lastResponses = new LastResponses();
 
     /** Starts the requester; {@code timer} gives connections back for reuse after their moment of rest. */
-    public EngineConnectionPool(Limits limits, ScheduledExecutorService timer) {
+    public EngineConnectionPool(Limits limits, ScheduledExecutorService timer, Counters counters) {
         this.limits = limits;
         this.connectTimeout = Timeout.ofMilliseconds((long) (limits.connectSeconds() * MILLIS_PER_SECOND));
         this.timer = timer;
+        this.counters = counters;
         this.reuseSuspension = new ReuseSuspension(limits.reuseSuspensionSeconds());
         this.pool = createPool(limits.engineConnections());
         this.requester = createRequester(new EngineProtocol(limits), pool);
@@ -121,21 +129,27 @@
             callback.notConnected();
             return;
         }
-        pool.lease(host, null, connectTimeout, new ConnectCallback<PoolEntry<HttpHost, IOSession>>(callback) {
-            @Override
-            public void completed(PoolEntry<HttpHost, IOSession> entry) {
-                connect(host, entry, callback);
-            }
-        });
+        long startedAt = System.nanoTime();
+        pool.lease(
+                host,
+                null,
+                connectTimeout,
+                new ConnectCallback<PoolEntry<HttpHost, IOSession>>(host, startedAt, callback) {
+                    @Override
+                    public void completed(PoolEntry<HttpHost, IOSession> entry) {
+                        connect(host, startedAt, entry, callback);
+                    }
+                });
     }
 
-    private void connect(HttpHost host, PoolEntry<HttpHost, IOSession> entry, LeaseCallback callback) {
+    private void connect(HttpHost host, long startedAt, PoolEntry<HttpHost, IOSession> entry, LeaseCallback callback) {
         if (entry.hasConnection() && entry.getConnection().isOpen() && !reuseSuspension.isActive()) {
             callback.connected(entry, true);
             return;
         }
         entry.discardConnection(CloseMode.IMMEDIATE);
-        requester.requestSession(host, connectTimeout, null, new ConnectCallback<IOSession>(callback) {
+        counters.increment(Counter.CONNECTS);
+        requester.requestSession(host, connectTimeout, null, new ConnectCallback<IOSession>(host, startedAt, callback) {
             @Override
             public void completed(IOSession session) {
                 entry.assignConnection(session);
@@ -151,15 +165,26 @@
     }
 
     /** Waits for one part of a connection; if that fails, there is none. */
-    private abstract static class ConnectCallback<T> implements FutureCallback<T> {
+    private abstract class ConnectCallback<T> implements FutureCallback<T> {
+        private final HttpHost host;
+        private final long startedAt;
         private final LeaseCallback callback;
 
-        ConnectCallback(LeaseCallback callback) {
+        ConnectCallback(HttpHost host, long startedAt, LeaseCallback callback) {
+            this.host = host;
+            this.startedAt = startedAt;
             this.callback = callback;
         }
 
         @Override
         public void failed(Exception e) {
+            boolean timedOut = e == null || e instanceof TimeoutException || e instanceof SocketTimeoutException;
+            counters.increment(timedOut ? Counter.CONNECTS_TIMED_OUT : Counter.CONNECTS_FAILED);
+            LOG.info(
+                    "event=engine_connect_failed address={} seconds={} reason=\"{}\"",
+                    host.toHostString(),
+                    Seconds.text((System.nanoTime() - startedAt) / NANOS_PER_SECOND),
+                    e);
             callback.notConnected();
         }
 
--- a/src/main/java/dunlinladder/transport/engine/ReleaseChain.java
+++ b/src/main/java/dunlinladder/transport/engine/ReleaseChain.java
@@ -2,9 +2,11 @@
 
 import dunlinladder.core.Engine;
 import dunlinladder.core.Limits;
+import dunlinladder.core.Seconds;
 import java.util.Iterator;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,13 +22,15 @@
     private static final Logger LOG = LoggerFactory.getLogger(ReleaseChain.class);
 
     private static final double MICROS_PER_SECOND = 1e6;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final EngineConnectionPool connections;
     private final ScheduledExecutorService timer;
     private final Limits limits;
     private final String requestId;
     private final Iterator<Engine> engines;
-    private final Runnable endListener;
+    private final Consumer<Boolean> endListener;
+    private final long startedAt = System.nanoTime();
     private int attempts;
     private int openCalls;
     private boolean ended;
@@ -36,7 +40,7 @@
      *
      * @param timer has one thread
      * @param engines whom to ask, in this order
-     * @param endListener runs once, when an engine has taken the release or none is left to be asked
+     * @param endListener told once whether an engine has taken the release, when one has or none is left to be asked
      */
     ReleaseChain(
             EngineConnectionPool connections,
@@ -44,7 +48,7 @@
             Limits limits,
             String requestId,
             Iterator<Engine> engines,
-            Runnable endListener) {
+            Consumer<Boolean> endListener) {
         this.connections = connections;
         this.timer = timer;
         this.limits = limits;
@@ -73,7 +77,7 @@
                     TimeUnit.MICROSECONDS);
         } else if (openCalls == 0) {
             LOG.warn("event=release_failed request={}", requestId);
-            end();
+            end(false);
         }
     }
 
@@ -86,7 +90,7 @@
 
     @Override
     public void released() {
-        timer.execute(this::end);
+        timer.execute(() -> end(true));
     }
 
     @Override
@@ -97,10 +101,17 @@
         });
     }
 
-    private void end() {
+    private void end(boolean taken) {
         if (!ended) {
             ended = true;
-            endListener.run();
+            if (taken) {
+                LOG.info(
+                        "event=release_taken request={} engines_asked={} seconds={}",
+                        requestId,
+                        attempts,
+                        Seconds.text((System.nanoTime() - startedAt) / NANOS_PER_SECOND));
+            }
+            endListener.accept(taken);
         }
     }
 }
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -37,6 +37,7 @@
 
     private final EngineRegistry engines = new EngineRegistry();
     private final Clock clock = new Clock();
+    private final Counters counters = new Counters();
     private final Queue<RoutingDecision> decisions = new ArrayDeque<>();
     private final Queue<Ending> endings = new ArrayDeque<>();
     private final List<String> sent = new ArrayList<>();
@@ -146,7 +147,8 @@
 
     private void submit(int serviceClass) {
         Dispatcher.Settings settings = new Dispatcher.Settings(10, 0.04, RULES);
-        dispatcher = new Dispatcher(router, engines, transport, Runnable::run, clock, settings);
+        dispatcher =
+                new Dispatcher(router, engines, transport, Runnable::run, new Instruments(clock, counters), settings);
         Request request = RequestBuilder.request("id")
                 .serviceClass(serviceClass)
                 .deadline(clock.now() + 5)
--- a/src/test/java/dunlinladder/it/WallClockTest.java
+++ b/src/test/java/dunlinladder/it/WallClockTest.java
@@ -37,6 +37,8 @@
                 Await.until(() -> gateway.prefillEngine.requestCount("DELETE", requestId) > 0);
                 double held = secondsBetween(gateway.prefillEngine, "POST", "DELETE");
                 assertTrue(held < HELD_SECONDS, "held for " + held + " s");
+                assertTrue(client.readHead());
+                assertEquals(503, client.status);
             }
         }
     }
--- a/src/test/java/dunlinladder/transport/engine/EngineConnectionFixture.java
+++ b/src/test/java/dunlinladder/transport/engine/EngineConnectionFixture.java
@@ -1,8 +1,10 @@
 package dunlinladder.transport.engine;
 
 import dunlinladder.core.Clock;
+import dunlinladder.core.Counters;
 import dunlinladder.core.Engine;
 import dunlinladder.core.EngineRegistry;
+import dunlinladder.core.Instruments;
 import dunlinladder.core.Limits;
 import dunlinladder.core.LimitsBuilder;
 import dunlinladder.core.RequestRouter;
@@ -25,10 +27,11 @@
     final Limits limits;
     final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     final EngineConnectionPool pool;
+    final Counters counters = new Counters();
 
     EngineConnectionFixture(double releaseSeconds) {
         limits = LimitsBuilder.limits().releaseSeconds(releaseSeconds).build();
-        pool = new EngineConnectionPool(limits, timer);
+        pool = new EngineConnectionPool(limits, timer, counters);
     }
 
     /** A server that accepts connections and never says anything. */
@@ -49,7 +52,7 @@
         EngineRegistry engines = new EngineRegistry();
         engines.apply(RequestRouter.Scope.COMPLETE, listed);
         SendGuard sendGuard = new SendGuard(engines, new Clock(), 0);
-        return new EngineClient(pool, engines, sendGuard, new Clock(), limits, timer);
+        return new EngineClient(pool, engines, sendGuard, new Instruments(new Clock(), counters), limits, timer);
     }
 
     /** Leases a connection and waits for it. */
