Bound waits for engine connections by the monotonic clock, and cut off unsent attempts in time

Set back, no connect times out until it has caught up: a decode attempt at an engine that takes no connection stays in flight, nothing goes out, and the KV cache of the prefill is held.

Change: a lease of a connection ends by the gateway's own timer; HttpCore is given no time-outs at all, and the idle time of kept connections is counted by the monotonic clock. SendGuard is the one check before sending, repeating and rejecting, and counts what it refuses; CacheHoldLedger counts KV caches that were held too long.

--- a/src/main/java/dunlinladder/core/Attempt.java
+++ b/src/main/java/dunlinladder/core/Attempt.java
@@ -8,6 +8,13 @@
  * @param number counted from 0 within the request
  * @param engine the engine as it was listed when the attempt was made
  * @param firstTokenDeadline clock time in seconds until which the gateway waits for the first token
+ * @param sendDeadline clock time in seconds until which its last byte has to be written; else it ends as never sent
  * @param mayHaveEffect whether the attempt can have an effect: false at an engine that only prefills
  */
-public record Attempt(Request request, int number, Engine engine, double firstTokenDeadline, boolean mayHaveEffect) {}
+public record Attempt(
+        Request request,
+        int number,
+        Engine engine,
+        double firstTokenDeadline,
+        double sendDeadline,
+        boolean mayHaveEffect) {}
--- a/src/main/java/dunlinladder/core/AttemptRunner.java
+++ b/src/main/java/dunlinladder/core/AttemptRunner.java
@@ -14,77 +14,98 @@
             + "cached={}";
 
     private final RequestRouter router;
-    private final EngineRegistry engines;
+    private final SendGuard guard;
     private final EngineTransport transport;
     private final Clock clock;
     private final Dispatcher.Settings settings;
     private final Counters counters;
+    private final CacheHoldLedger cacheHolds;
+
+    /** Clock times in seconds. */
+    private record Times(double sentAt, double endedAt) {}
 
     /**
-     * When the first token of one attempt came. The transport's thread writes it before the attempt ends, the driving
-     * thread reads it after that.
+     * How far one attempt has come. The transport's threads write it before the attempt ends, the driving thread reads
+     * it after that.
      */
-    private static final class FirstTokenTime {
-        private volatile double at = Double.NaN;
+    private final class Progress implements AttemptListener {
+        private final Attempt attempt;
+        private volatile boolean sent;
+        private volatile double firstTokenAt = Double.NaN;
+
+        Progress(Attempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void requestSent() {
+            sent = true;
+            cacheHolds.attemptSent(attempt.request().id());
+        }
 
-        void set(double now) {
-            at = now;
+        @Override
+        public void firstToken() {
+            firstTokenAt = clock.now();
+            cacheHolds.firstToken(attempt.request().id());
+            router.firstToken(attempt);
         }
 
-        boolean isSet() {
-            return !Double.isNaN(at);
+        boolean isSent() {
+            return sent;
+        }
+
+        boolean hasFirstToken() {
+            return !Double.isNaN(firstTokenAt);
         }
 
         /** Seconds from a clock time to the first token, as the log states them; {@code -} where none came. */
-        String logTextSince(double start) {
-            return isSet() ? Seconds.text(at - start) : "-";
+        String firstTokenTextSince(double start) {
+            return hasFirstToken() ? Seconds.text(firstTokenAt - start) : "-";
         }
     }
 
     AttemptRunner(
             RequestRouter router,
-            EngineRegistry engines,
+            SendGuard guard,
             EngineTransport transport,
             Instruments instruments,
             Dispatcher.Settings settings) {
         this.router = router;
-        this.engines = engines;
+        this.guard = guard;
         this.transport = transport;
         this.clock = instruments.clock();
         this.settings = settings;
         this.counters = instruments.counters();
+        this.cacheHolds = instruments.cacheHolds();
     }
 
     /** Makes one attempt; true when nothing is owed to the client any more. */
     boolean run(InFlightRequest request, RoutingDecision.Forward forward) throws InterruptedException {
-        Optional<Engine> listed = engines.find(forward.engine());
-        Attempt attempt = prepare(request, forward, listed);
-        boolean forbidden =
-                settings.rules().forbidsRerun(request.request(), request.history()) && attempt.mayHaveEffect();
+        Attempt attempt = prepare(request, forward);
+        Optional<SendRefusal> refusal = guard.refusalToBegin(attempt, request.history(), request.isDisconnected());
         double sentAt = clock.now();
         request.history().recordSent(attempt, sentAt);
-        if (forbidden) {
-            logForbidden(request);
-        }
-        // The list may have lost the engine, or the client may have left, since the decision.
-        if (forbidden || listed.isEmpty() || request.isDisconnected()) {
+        if (refusal.isPresent()) {
+            logRefused(request, attempt, refusal.get());
             return endNotSent(request, attempt);
         }
-        FirstTokenTime firstToken = new FirstTokenTime();
         counters.increment(Counter.ATTEMPTS);
-        Optional<EngineTransport.Call> call = send(request, attempt, firstToken);
+        Progress progress = new Progress(attempt);
+        Optional<EngineTransport.Call> call = send(request, attempt, progress);
         if (call.isEmpty()) {
             return endNotSent(request, attempt);
         }
         Outcome outcome = call.get().await();
         double endedAt = clock.now();
         request.history().recordEnd(outcome, endedAt);
+        cacheHolds.attemptEnded(attempt, outcome, progress.isSent(), endedAt);
         count(outcome);
-        logEnded(request, attempt, outcome, sentAt, endedAt, firstToken);
-        return conclude(request, attempt, outcome, firstToken.isSet());
+        logEnded(request, attempt, outcome, new Times(sentAt, endedAt), progress);
+        return conclude(request, attempt, outcome, progress.hasFirstToken());
     }
 
-    private Attempt prepare(InFlightRequest request, RoutingDecision.Forward forward, Optional<Engine> listed) {
+    private Attempt prepare(InFlightRequest request, RoutingDecision.Forward forward) {
+        Optional<Engine> listed = guard.find(forward.engine());
         // A client that hears nothing by its deadline asks again elsewhere: the answer must be there before.
         double latest = request.request().deadline() - settings.answerMarginSeconds();
         double firstTokenDeadline = forward.timeout() > 0 ? Math.min(latest, clock.now() + forward.timeout()) : latest;
@@ -93,17 +114,17 @@
                 request.history().size(),
                 listed.orElseGet(() -> Engine.unlisted(forward.engine())),
                 firstTokenDeadline,
-                listed.isEmpty() || !settings.rules().isPrefillOnly(listed.get().kind()));
+                Math.min(
+                        firstTokenDeadline,
+                        cacheHolds.sendDeadline(request.request().id())),
+                listed.isEmpty() || !guard.isPrefillOnly(listed.get()));
     }
 
     /** Begins an attempt; empty where that failed and nothing was sent. */
-    private Optional<EngineTransport.Call> send(InFlightRequest request, Attempt attempt, FirstTokenTime firstToken) {
+    private Optional<EngineTransport.Call> send(InFlightRequest request, Attempt attempt, AttemptListener listener) {
         EngineTransport.Call call;
         try {
-            call = transport.send(attempt, request.client(), () -> {
-                firstToken.set(clock.now());
-                router.firstToken(attempt);
-            });
+            call = transport.send(attempt, request.client(), listener);
         } catch (RuntimeException e) {
             // Of any kind: a request that cannot be written for this engine may still go to another.
             LOG.warn(
@@ -122,12 +143,6 @@
         boolean disconnected = request.isDisconnected();
         Outcome outcome = Outcome.of(Outcome.Ending.CONNECT_FAILED);
         count(outcome);
-        LOG.info(
-                "event=attempt_refused request={} attempt={} engine={} client_gone={}",
-                attempt.request().id(),
-                attempt.number(),
-                attempt.engine().id(),
-                disconnected);
         request.history().recordEnd(outcome, clock.now());
         router.attemptEnded(attempt, outcome, disconnected);
         return disconnected;
@@ -151,13 +166,17 @@
         return last;
     }
 
-    /** Whatever the policy went by, the facts say that the request would run a second time. */
-    private static void logForbidden(InFlightRequest request) {
-        LOG.error(
-                "event=retry_forbidden request={} class={} attempts={}",
-                request.request().id(),
-                request.request().serviceClass(),
-                request.history().logText());
+    private static void logRefused(InFlightRequest request, Attempt attempt, SendRefusal refusal) {
+        // Whatever the policy went by, the facts say that the request would run a second time.
+        Level level = refusal == SendRefusal.RERUN_FORBIDDEN ? Level.ERROR : Level.INFO;
+        LOG.atLevel(level)
+                .log(
+                        "event=attempt_refused request={} class={} engine={} reason={} attempts={}",
+                        attempt.request().id(),
+                        attempt.request().serviceClass(),
+                        attempt.engine().id(),
+                        refusal.logName(),
+                        request.history().logText());
     }
 
     private void count(Outcome outcome) {
@@ -181,12 +200,7 @@
 
     /** What is needed to count across a fleet; deploy/fleet-counts.py reads it. */
     private static void logEnded(
-            InFlightRequest inFlight,
-            Attempt attempt,
-            Outcome outcome,
-            double sentAt,
-            double endedAt,
-            FirstTokenTime firstToken) {
+            InFlightRequest inFlight, Attempt attempt, Outcome outcome, Times times, Progress progress) {
         if (!LOG.isDebugEnabled() && !isUnusual(outcome)) {
             return;
         }
@@ -200,11 +214,11 @@
                         attempt.number(),
                         engine.id(),
                         !attempt.mayHaveEffect(),
-                        engine.startedAt() > 0 ? (long) (endedAt - engine.startedAt()) : "-",
+                        engine.startedAt() > 0 ? (long) (times.endedAt() - engine.startedAt()) : "-",
                         outcome.ending(),
-                        Seconds.text(endedAt - sentAt),
-                        Seconds.text(sentAt - inFlight.acceptedAt()),
-                        firstToken.logTextSince(inFlight.acceptedAt()),
+                        Seconds.text(times.endedAt() - times.sentAt()),
+                        Seconds.text(times.sentAt() - inFlight.acceptedAt()),
+                        progress.firstTokenTextSince(inFlight.acceptedAt()),
                         (long) request.promptTokens(),
                         (long) request.prefixTokens(),
                         (long) outcome.note());
--- a/src/main/java/dunlinladder/core/Counter.java
+++ b/src/main/java/dunlinladder/core/Counter.java
@@ -30,6 +30,18 @@
     RELEASES,
     /** Releases that no engine took. */
     RELEASES_FAILED,
+    /** Sends refused by the {@link SendGuard} as the client had left or the attempt was given up. */
+    SENDS_REFUSED_CLIENT_GONE,
+    /** Sends refused as they came too late. */
+    SENDS_REFUSED_TOO_LATE,
+    /** Sends refused as the request may have run. */
+    SENDS_REFUSED_RERUN,
+    /** Sends refused as the engine takes nothing new. */
+    SENDS_REFUSED_ENGINE,
+    /** Rejections refused as the request may have run. */
+    REJECTIONS_REFUSED,
+    /** Violations of an invariant: a KV cache was held too long; see {@link CacheHoldLedger}. */
+    INVARIANT_CACHE_HELD,
     /** Steps of the machine's wall clock. */
     WALL_CLOCK_STEPS;
 
--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -16,6 +16,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Dispatcher.class);
 
     private final RequestRouter router;
+    private final SendGuard guard;
     private final Executor executor;
     private final Clock clock;
     private final Settings settings;
@@ -28,24 +29,24 @@
      *
      * @param maxRequests requests that may be in flight at once
      * @param answerMarginSeconds before the client's deadline at which an attempt without a first token ends
-     * @param rules which requests must not run twice
      */
-    public record Settings(int maxRequests, double answerMarginSeconds, ServiceRules rules) {}
+    public record Settings(int maxRequests, double answerMarginSeconds) {}
 
     /** Creates a dispatcher that drives each request in one task of {@code executor}. */
     public Dispatcher(
             RequestRouter router,
-            EngineRegistry engines,
+            SendGuard guard,
             EngineTransport transport,
             Executor executor,
             Instruments instruments,
             Settings settings) {
         this.router = router;
+        this.guard = guard;
         this.executor = executor;
         this.clock = instruments.clock();
         this.settings = settings;
         this.counters = instruments.counters();
-        this.attempts = new AttemptRunner(router, engines, transport, instruments, settings);
+        this.attempts = new AttemptRunner(router, guard, transport, instruments, settings);
     }
 
     /** The number of requests in flight. */
@@ -144,7 +145,7 @@
     private void reject(InFlightRequest inFlightRequest, RoutingDecision.Reject reject) {
         Request request = inFlightRequest.request();
         AttemptHistory history = inFlightRequest.history();
-        if (settings.rules().forbidsRerun(request, history)) {
+        if (!guard.allowsRejection(request, history)) {
             LOG.error(
                     "event=reject_forbidden request={} class={} attempts={}",
                     request.id(),
--- a/src/main/java/dunlinladder/core/EngineTransport.java
+++ b/src/main/java/dunlinladder/core/EngineTransport.java
@@ -7,10 +7,10 @@
      * Begins an attempt.
      *
      * @param client gets the stream
-     * @param onFirstToken runs once, on a thread of the transport, when the stream begins and before it is passed on
+     * @param listener hears how far the attempt has come
      * @throws RuntimeException where the attempt cannot be begun; nothing has been sent then
      */
-    Call send(Attempt attempt, ResponseSink client, Runnable onFirstToken);
+    Call send(Attempt attempt, ResponseSink client, AttemptListener listener);
 
     /** Tells engines to free the KV cache of a request, wherever it is held; returns at once. */
     void release(String id);
--- a/src/main/java/dunlinladder/core/Instruments.java
+++ b/src/main/java/dunlinladder/core/Instruments.java
@@ -5,5 +5,6 @@
  *
  * @param clock the gateway's one clock
  * @param counters the gateway's counts
+ * @param cacheHolds the KV caches that wait at engines
  */
-public record Instruments(Clock clock, Counters counters) {}
+public record Instruments(Clock clock, Counters counters, CacheHoldLedger cacheHolds) {}
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -8,8 +8,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,8 +51,7 @@
     private final GatewayConfig config;
     private final Optional<ChatFrontConfig> chat;
     private final Limits limits;
-    private final ScheduledExecutorService timer =
-            Executors.newSingleThreadScheduledExecutor(task -> DaemonThreads.create(task, "timer"));
+    private final ScheduledExecutorService timer = createTimer();
     private final GatewayAssembly parts;
     private final WallClockMonitor wallClockMonitor;
     private volatile LifecycleState state = LifecycleState.STARTING;
@@ -68,10 +67,19 @@
         this.chat = chat;
         this.limits = config.limits();
         parts = new GatewayAssembly(config, chat, timer, () -> state);
-        wallClockMonitor = new WallClockMonitor(System::currentTimeMillis, System::nanoTime, parts.counters());
+        wallClockMonitor = new WallClockMonitor(
+                System::currentTimeMillis, System::nanoTime, parts.instruments().counters());
         scheduleRecurringTasks();
     }
 
+    private static ScheduledExecutorService createTimer() {
+        ScheduledThreadPoolExecutor timer =
+                new ScheduledThreadPoolExecutor(1, task -> DaemonThreads.create(task, "timer"));
+        // Most time-outs are cancelled, and would be kept until they are due.
+        timer.setRemoveOnCancelPolicy(true);
+        return timer;
+    }
+
     private void scheduleRecurringTasks() {
         timer.scheduleWithFixedDelay(
                 this::checkSchedulingLag,
@@ -79,7 +87,7 @@
                 (long) (limits.schedulingLagCheckSeconds() * MICROS_PER_SECOND),
                 TimeUnit.MICROSECONDS);
         timer.scheduleWithFixedDelay(
-                new CountersLog(parts.counters()),
+                new CountersLog(parts.instruments().counters()),
                 COUNTERS_INTERVAL_SECONDS,
                 COUNTERS_INTERVAL_SECONDS,
                 TimeUnit.SECONDS);
@@ -104,6 +112,7 @@
 
     private void checkSchedulingLag() {
         wallClockMonitor.check();
+        parts.instruments().cacheHolds().check(parts.clock().now());
         parts.lagMonitor().probe();
         parts.router().admitQueued();
     }
@@ -194,7 +203,7 @@
         awaitClientConnections();
         parts.fronts().forEach(HttpListener::close);
         state = LifecycleState.CLOSED;
-        LOG.info("event=counters {}", parts.counters().logText());
+        LOG.info("event=counters {}", parts.instruments().counters().logText());
         LOG.info("event=stopped");
         return true;
     }
--- a/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
@@ -1,5 +1,6 @@
 package dunlinladder.lifecycle;
 
+import dunlinladder.core.CacheHoldLedger;
 import dunlinladder.core.Clock;
 import dunlinladder.core.Counters;
 import dunlinladder.core.Dispatcher;
@@ -53,7 +54,7 @@
     private final Limits limits;
     private final Clock clock = new Clock();
     private final Counters counters = new Counters();
-    private final Instruments instruments = new Instruments(clock, counters);
+    private final Instruments instruments;
     private final EngineRegistry engines = new EngineRegistry();
     /** Bytes of request bodies that both fronts hold now. */
     private final AtomicLong bodyBytes = new AtomicLong();
@@ -95,18 +96,20 @@
                 new EndpointListReader(config.names().zones(), config.names().kinds());
         cachedEndpoints = readCachedEndpoints(config);
         engineConnections = new EngineConnectionPool(limits, timer, counters);
-        SendGuard sendGuard = new SendGuard(engines, clock, limits.sendGuardSeconds());
+        instruments = new Instruments(
+                clock, counters, new CacheHoldLedger(config.routing().rules().releaseWithin(), counters));
+        SendGuard sendGuard = new SendGuard(
+                engines, new ConfiguredServiceRules(config.routing()), instruments, limits.sendGuardSeconds());
         engineClient = new EngineClient(engineConnections, engines, sendGuard, instruments, limits, timer);
         lagMonitor = new SchedulingLagMonitor(engineConnections);
         router = createRouter();
         dispatcher = new Dispatcher(
                 router,
-                engines,
+                sendGuard,
                 engineClient,
                 createRequestThreads(),
                 instruments,
-                new Dispatcher.Settings(
-                        limits.requests(), limits.answerMarginSeconds(), new ConfiguredServiceRules(config.routing())));
+                new Dispatcher.Settings(limits.requests(), limits.answerMarginSeconds()));
         eligibility = chat.map(front -> createEligibility(front.settings()));
         int connectionsPerFront = limits.clientConnections() / (chat.isPresent() ? 2 : 1);
         platformFront = createPlatformFront(connectionsPerFront);
@@ -209,8 +212,8 @@
         return clock;
     }
 
-    Counters counters() {
-        return counters;
+    Instruments instruments() {
+        return instruments;
     }
 
     EngineConnectionPool engineConnections() {
--- a/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
+++ b/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
@@ -42,8 +42,7 @@
     private static final int CHECKS_PER_SILENCE = 8;
 
     private final Clock clock;
-    private final double firstEventDeadline;
-    private final double streamSeconds;
+    private final Deadlines deadlines;
     private final EndListener listener;
     private final double startedAt;
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -54,15 +53,18 @@
     private Outcome outcome;
 
     /**
-     * Starts now.
+     * Until when the engine may be silent.
      *
-     * @param firstEventDeadline time by {@code clock} until which the first event must have come
+     * @param send time by the clock until which the last byte of the request must have been written
+     * @param firstEvent time by the clock until which the first event must have come
      * @param streamSeconds silence within the stream after which the attempt has timed out
      */
-    AttemptProgress(Clock clock, double firstEventDeadline, double streamSeconds, EndListener listener) {
+    record Deadlines(double send, double firstEvent, double streamSeconds) {}
+
+    /** Starts now. */
+    AttemptProgress(Clock clock, Deadlines deadlines, EndListener listener) {
         this.clock = clock;
-        this.firstEventDeadline = firstEventDeadline;
-        this.streamSeconds = streamSeconds;
+        this.deadlines = deadlines;
         this.listener = listener;
         this.startedAt = clock.now();
     }
@@ -156,7 +158,7 @@
      */
     boolean awaitEnd() throws InterruptedException {
         double left = deadline() - clock.now();
-        double seconds = Math.max(0, Math.min(left, streamSeconds / CHECKS_PER_SILENCE));
+        double seconds = Math.max(0, Math.min(left, deadlines.streamSeconds() / CHECKS_PER_SILENCE));
         // An outcome that is there is returned to an interrupted thread, too.
         return hasEnded() || ended.await((long) (seconds * NANOS_PER_SECOND), TimeUnit.NANOSECONDS);
     }
@@ -167,13 +169,15 @@
     }
 
     /**
-     * Until the stream begins, as long as the attempt may take. From then on an engine that is silent would keep its
-     * client waiting for good; it is not silent while the client has not read what came.
+     * Until it is sent, as long as what waits for it may wait; until the stream begins, as long as the attempt may
+     * take. From then on an engine that is silent would keep its client waiting for good; it is not silent while the
+     * client has not read what came.
      */
     private synchronized double deadline() {
-        if (phase != AttemptPhase.STREAMING) {
-            return firstEventDeadline;
-        }
-        return (unreadBytes > 0 ? clock.now() : lastActivityAt) + streamSeconds;
+        return switch (phase) {
+            case SENDING -> Math.min(deadlines.send(), deadlines.firstEvent());
+            case SENT -> deadlines.firstEvent();
+            case STREAMING -> (unreadBytes > 0 ? clock.now() : lastActivityAt) + deadlines.streamSeconds();
+        };
     }
 }
--- a/src/main/java/dunlinladder/transport/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCall.java
@@ -1,6 +1,7 @@
 package dunlinladder.transport.engine;
 
 import dunlinladder.core.Attempt;
+import dunlinladder.core.AttemptListener;
 import dunlinladder.core.EngineTransport;
 import dunlinladder.core.Limits;
 import dunlinladder.core.Outcome;
@@ -44,6 +45,7 @@
     private final EngineRequest request;
     private final ByteBuffer requestBody;
     private final AttemptProgress progress;
+    private final AttemptListener listener;
     private final EngineFlowControl flowControl;
     private final EngineStreamRelay stream;
     private final BoundedResponseBody responseBody;
@@ -54,9 +56,9 @@
      * Prepares a call.
      *
      * @param client gets the events of the stream
-     * @param firstEventListener runs before the first event is passed on
+     * @param listener hears how far the attempt has come
      */
-    EngineCall(EngineCallContext context, Attempt attempt, ResponseSink client, Runnable firstEventListener) {
+    EngineCall(EngineCallContext context, Attempt attempt, ResponseSink client, AttemptListener listener) {
         super(context.connections());
         Limits limits = context.limits();
         this.context = context;
@@ -65,10 +67,14 @@
         this.request = requestFactory.requestFor(attempt.engine());
         this.requestBody = ByteBuffer.wrap(request.body());
         this.progress = new AttemptProgress(
-                context.clock(), attempt.firstTokenDeadline(), limits.streamSeconds(), this::reportOutcome);
+                context.clock(),
+                new AttemptProgress.Deadlines(
+                        attempt.sendDeadline(), attempt.firstTokenDeadline(), limits.streamSeconds()),
+                this::reportOutcome);
+        this.listener = listener;
         this.flowControl = new EngineFlowControl(this::failed);
         this.stream = new EngineStreamRelay(
-                new EventStreamFilter(limits.eventBytes()), flowControl, progress, client, firstEventListener);
+                new EventStreamFilter(limits.eventBytes()), flowControl, progress, client, listener);
         this.responseBody = new BoundedResponseBody(limits.responseBytes());
     }
 
@@ -99,7 +105,7 @@
     /** An update that tells that the engine drains also stops what was decided before and waited for a connection. */
     @Override
     boolean mayStart() {
-        return context.sendGuard().allows(attempt.engine());
+        return context.sendGuard().refusalToSend(attempt, progress::hasEnded).isEmpty();
     }
 
     @Override
@@ -109,18 +115,16 @@
 
     @Override
     public void produceRequest(RequestChannel channel, HttpContext httpContext) throws HttpException, IOException {
-        if (progress.hasEnded()) {
-            throw new ConnectionClosedException("given up before it was sent");
-        }
         if (!mayStart()) {
             // The connection was there, yet this thread came to it only now. Its end is our own doing and
             // says nothing of reused connections, so it is let go before HttpCore learns of it.
             closeConnection();
-            throw new ConnectionClosedException("the engine drains");
+            throw new ConnectionClosedException("no longer to be sent");
         }
         BasicHttpRequest head = requestHead();
         if (!requestBody.hasRemaining()) {
             progress.requestSent();
+            listener.requestSent();
             channel.sendRequest(head, null, httpContext);
         } else {
             channel.sendRequest(head, requestEntity(), httpContext);
@@ -161,6 +165,7 @@
             }
         }
         if (!requestBody.hasRemaining()) {
+            listener.requestSent();
             channel.endStream();
         }
     }
--- a/src/main/java/dunlinladder/transport/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineClient.java
@@ -1,6 +1,8 @@
 package dunlinladder.transport.engine;
 
 import dunlinladder.core.Attempt;
+import dunlinladder.core.AttemptListener;
+import dunlinladder.core.CacheHoldLedger;
 import dunlinladder.core.Counter;
 import dunlinladder.core.Counters;
 import dunlinladder.core.Engine;
@@ -28,6 +30,7 @@
     private final EngineRegistry engines;
     private final ScheduledExecutorService timer;
     private final Counters counters;
+    private final CacheHoldLedger cacheHolds;
     private final AtomicInteger openReleases = new AtomicInteger();
 
     /**
@@ -48,11 +51,12 @@
         this.engines = engines;
         this.timer = timer;
         this.counters = instruments.counters();
+        this.cacheHolds = instruments.cacheHolds();
     }
 
     @Override
-    public Call send(Attempt attempt, ResponseSink client, Runnable onFirstToken) {
-        EngineCall call = new EngineCall(context, attempt, client, onFirstToken);
+    public Call send(Attempt attempt, ResponseSink client, AttemptListener listener) {
+        EngineCall call = new EngineCall(context, attempt, client, listener);
         call.start(attempt.engine().address());
         return call;
     }
@@ -65,13 +69,17 @@
         List<Engine> order = ReleaseOrder.of(listed, connections.lastResponses());
         openReleases.incrementAndGet();
         counters.increment(Counter.RELEASES);
+        cacheHolds.releaseBegun(id);
         LOG.info("event=release_begun request={} engines={}", id, order.size());
-        new ReleaseChain(connections, timer, context.limits(), id, order.iterator(), this::releaseEnded).start();
+        new ReleaseChain(connections, timer, context.limits(), id, order.iterator(), taken -> releaseEnded(id, taken))
+                .start();
     }
 
-    private void releaseEnded(boolean taken) {
+    private void releaseEnded(String id, boolean taken) {
         openReleases.decrementAndGet();
-        if (!taken) {
+        if (taken) {
+            cacheHolds.releaseTaken(id);
+        } else {
             counters.increment(Counter.RELEASES_FAILED);
         }
     }
--- a/src/main/java/dunlinladder/transport/engine/EngineConnectionPool.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineConnectionPool.java
@@ -3,12 +3,11 @@
 import dunlinladder.core.Counter;
 import dunlinladder.core.Counters;
 import dunlinladder.core.Limits;
-import dunlinladder.core.Seconds;
 import java.io.IOException;
-import java.net.SocketTimeoutException;
-import java.nio.channels.SocketChannel;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -41,14 +40,11 @@
 
     private static final int IO_THREADS = 1;
     private static final int SELECT_INTERVAL_MILLIS = 50;
-    private static final double MILLIS_PER_SECOND = 1e3;
     private static final double MICROS_PER_SECOND = 1e6;
-    private static final double NANOS_PER_SECOND = 1e9;
 
     private final HttpAsyncRequester requester;
-    private final StrictConnPool<HttpHost, IOSession> pool;
+    private final StrictConnPool<HttpHost, EngineConnection> pool;
     private final Limits limits;
-    private final Timeout connectTimeout;
     private final ScheduledExecutorService timer;
     private final Counters counters;
     private final ReuseSuspension reuseSuspension;
@@ -57,28 +53,26 @@
     /** Starts the requester; {@code timer} gives connections back for reuse after their moment of rest. */
     public EngineConnectionPool(Limits limits, ScheduledExecutorService timer, Counters counters) {
         this.limits = limits;
-        this.connectTimeout = Timeout.ofMilliseconds((long) (limits.connectSeconds() * MILLIS_PER_SECOND));
         this.timer = timer;
         this.counters = counters;
         this.reuseSuspension = new ReuseSuspension(limits.reuseSuspensionSeconds());
         this.pool = createPool(limits.engineConnections());
-        this.requester = createRequester(new EngineProtocol(limits), pool);
+        this.requester = createRequester(new EngineProtocol(limits));
         requester.start();
     }
 
-    private static StrictConnPool<HttpHost, IOSession> createPool(int maxConnections) {
+    private static StrictConnPool<HttpHost, EngineConnection> createPool(int maxConnections) {
         // The pool's own limit for a route is 5 by default; here only the total binds.
         return new StrictConnPool<>(
                 maxConnections,
                 maxConnections,
                 TimeValue.NEG_ONE_MILLISECOND,
                 PoolReusePolicy.LIFO,
-                IOSession::close,
+                EngineConnection::close,
                 null);
     }
 
-    private static HttpAsyncRequester createRequester(
-            EngineProtocol protocol, StrictConnPool<HttpHost, IOSession> pool) {
+    private static HttpAsyncRequester createRequester(EngineProtocol protocol) {
         IOReactorConfig config = IOReactorConfig.custom()
                 .setIoThreadCount(IO_THREADS)
                 .setTcpNoDelay(true)
@@ -93,7 +87,8 @@
                 null,
                 null,
                 null,
-                pool,
+                // It wants a pool of sessions; the connections here are kept by the pool beside it.
+                new StrictConnPool<>(1, 1),
                 null,
                 null,
                 null,
@@ -107,17 +102,37 @@
      */
     void open(String address, IOEventHandler handler) throws IOException {
         try {
-            requester
-                    .requestSession(EngineAddress.host(address), connectTimeout, handler, null)
-                    .get();
+            CompletableFuture<IOSession> opened = new CompletableFuture<>();
+            requester.requestSession(
+                    EngineAddress.host(address), Timeout.DISABLED, handler, new CompletingCallback(opened));
+            opened.get((long) (limits.connectSeconds() * MICROS_PER_SECOND), TimeUnit.MICROSECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted before a connection to " + address, e);
-        } catch (ExecutionException e) {
+        } catch (ExecutionException | TimeoutException e) {
             throw new IOException("no connection to " + address, e);
         }
     }
 
+    /** Completes a future, whose time-outs count by the monotonic clock, by one of HttpCore's. */
+    private record CompletingCallback(CompletableFuture<IOSession> target) implements FutureCallback<IOSession> {
+
+        @Override
+        public void completed(IOSession session) {
+            target.complete(session);
+        }
+
+        @Override
+        public void failed(Exception e) {
+            target.completeExceptionally(e);
+        }
+
+        @Override
+        public void cancelled() {
+            target.cancel(false);
+        }
+    }
+
     // ---- Leases ----
 
     /** Finds an open connection to an address, or opens one, and hands it to the callback. */
@@ -129,71 +144,79 @@
             callback.notConnected();
             return;
         }
-        long startedAt = System.nanoTime();
-        pool.lease(
-                host,
-                null,
-                connectTimeout,
-                new ConnectCallback<PoolEntry<HttpHost, IOSession>>(host, startedAt, callback) {
-                    @Override
-                    public void completed(PoolEntry<HttpHost, IOSession> entry) {
-                        connect(host, startedAt, entry, callback);
-                    }
-                });
+        ConnectionLease lease = new ConnectionLease(host, callback, counters);
+        Future<?> place = pool.lease(host, null, Timeout.DISABLED, new PlacePart(lease, host));
+        if (!lease.hasEnded()) {
+            lease.endAfter(limits.connectSeconds(), timer);
+            if (!place.isDone()) {
+                lease.waitFor(place);
+            }
+        }
     }
 
-    private void connect(HttpHost host, long startedAt, PoolEntry<HttpHost, IOSession> entry, LeaseCallback callback) {
-        if (entry.hasConnection() && entry.getConnection().isOpen() && !reuseSuspension.isActive()) {
-            callback.connected(entry, true);
-            return;
+    /** Waits for a place in the pool. */
+    private final class PlacePart extends ConnectionLease.Part<PoolEntry<HttpHost, EngineConnection>> {
+        private final HttpHost host;
+
+        PlacePart(ConnectionLease lease, HttpHost host) {
+            super(lease);
+            this.host = host;
         }
-        entry.discardConnection(CloseMode.IMMEDIATE);
-        counters.increment(Counter.CONNECTS);
-        requester.requestSession(host, connectTimeout, null, new ConnectCallback<IOSession>(host, startedAt, callback) {
-            @Override
-            public void completed(IOSession session) {
-                entry.assignConnection(session);
-                callback.connected(entry, false);
-            }
 
-            @Override
-            public void failed(Exception e) {
+        @Override
+        public void completed(PoolEntry<HttpHost, EngineConnection> entry) {
+            if (isReusable(entry)) {
+                if (!lease().connected(entry, true)) {
+                    pool.release(entry, true);
+                }
+                return;
+            }
+            entry.discardConnection(CloseMode.IMMEDIATE);
+            if (lease().hasEnded()) {
                 pool.release(entry, false);
-                super.failed(e);
+                return;
             }
-        });
+            counters.increment(Counter.CONNECTS);
+            lease().waitFor(requester.requestSession(host, Timeout.DISABLED, null, new SessionPart(lease(), entry)));
+        }
+
+        @Override
+        void abandon() {
+            // There is no place to be given back.
+        }
     }
 
-    /** Waits for one part of a connection; if that fails, there is none. */
-    private abstract class ConnectCallback<T> implements FutureCallback<T> {
-        private final HttpHost host;
-        private final long startedAt;
-        private final LeaseCallback callback;
+    /** Waits for a connection to come up. */
+    private final class SessionPart extends ConnectionLease.Part<IOSession> {
+        private final PoolEntry<HttpHost, EngineConnection> entry;
 
-        ConnectCallback(HttpHost host, long startedAt, LeaseCallback callback) {
-            this.host = host;
-            this.startedAt = startedAt;
-            this.callback = callback;
+        SessionPart(ConnectionLease lease, PoolEntry<HttpHost, EngineConnection> entry) {
+            super(lease);
+            this.entry = entry;
         }
 
         @Override
-        public void failed(Exception e) {
-            boolean timedOut = e == null || e instanceof TimeoutException || e instanceof SocketTimeoutException;
-            counters.increment(timedOut ? Counter.CONNECTS_TIMED_OUT : Counter.CONNECTS_FAILED);
-            LOG.info(
-                    "event=engine_connect_failed address={} seconds={} reason=\"{}\"",
-                    host.toHostString(),
-                    Seconds.text((System.nanoTime() - startedAt) / NANOS_PER_SECOND),
-                    e);
-            callback.notConnected();
+        public void completed(IOSession session) {
+            entry.assignConnection(new EngineConnection(session));
+            if (!lease().connected(entry, false)) {
+                discard(entry);
+            }
         }
 
         @Override
-        public void cancelled() {
-            failed(null);
+        void abandon() {
+            pool.release(entry, false);
         }
     }
 
+    private boolean isReusable(PoolEntry<HttpHost, EngineConnection> entry) {
+        EngineConnection connection = entry.getConnection();
+        return connection != null
+                && connection.isOpen()
+                && connection.idleSeconds() < limits.idleSeconds()
+                && !reuseSuspension.isActive();
+    }
+
     /** A reused connection broke under its next request: for a while each request gets a new one. */
     void suspendReuse() {
         reuseSuspension.begin();
@@ -204,13 +227,11 @@
      * belongs to it, and that must not be taken for the next response. What comes on a connection that waits for
      * nothing closes it.
      */
-    void giveBack(PoolEntry<HttpHost, IOSession> entry) {
+    void giveBack(PoolEntry<HttpHost, EngineConnection> entry) {
         lastResponses.record(entry.getRoute().toHostString());
+        entry.getConnection().markIdle();
         timer.schedule(
-                () -> {
-                    entry.updateExpiry(idleTime());
-                    pool.release(entry, entry.getConnection().isOpen());
-                },
+                () -> pool.release(entry, entry.getConnection().isOpen()),
                 (long) (limits.reuseDelaySeconds() * MICROS_PER_SECOND),
                 TimeUnit.MICROSECONDS);
     }
@@ -220,11 +241,11 @@
      * selector's thread, when that gets a core; until then the engine would take the attempt for one that is still out,
      * while its client may already have been rejected. So our sending is ended here and at once.
      */
-    void discard(PoolEntry<HttpHost, IOSession> entry) {
-        IOSession session = entry.getConnection();
-        if (session != null && session.channel() instanceof SocketChannel channel) {
+    void discard(PoolEntry<HttpHost, EngineConnection> entry) {
+        EngineConnection connection = entry.getConnection();
+        if (connection != null) {
             try {
-                channel.shutdownOutput();
+                connection.endSending();
             } catch (IOException e) {
                 LOG.debug(
                         "event=engine_connection_ended address={} reason=\"{}\"",
@@ -246,12 +267,12 @@
     /** Closes what has been idle too long; to be called now and then. */
     public void closeIdle() {
         lastResponses.expireOlderThan(limits.idleSeconds());
-        pool.closeExpired();
-        pool.closeIdle(idleTime());
-    }
-
-    private TimeValue idleTime() {
-        return TimeValue.ofMilliseconds((long) (limits.idleSeconds() * MILLIS_PER_SECOND));
+        pool.enumAvailable(entry -> {
+            EngineConnection connection = entry.getConnection();
+            if (connection != null && connection.idleSeconds() >= limits.idleSeconds()) {
+                entry.discardConnection(CloseMode.GRACEFUL);
+            }
+        });
     }
 
     /** Closes all connections at once and ends the I/O thread. */
--- a/src/main/java/dunlinladder/transport/engine/EngineExchange.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineExchange.java
@@ -30,7 +30,7 @@
 abstract class EngineExchange implements AsyncClientExchangeHandler, LeaseCallback {
 
     private final EngineConnectionPool connections;
-    private PoolEntry<HttpHost, IOSession> connection;
+    private PoolEntry<HttpHost, EngineConnection> connection;
     private boolean released;
     private boolean reusedConnection;
     private boolean responseStarted;
@@ -60,7 +60,7 @@
     // ---- The connection ----
 
     @Override
-    public final void connected(PoolEntry<HttpHost, IOSession> leased, boolean reused) {
+    public final void connected(PoolEntry<HttpHost, EngineConnection> leased, boolean reused) {
         reusedConnection = reused;
         boolean unwanted;
         synchronized (this) {
@@ -70,7 +70,7 @@
         if (unwanted) {
             connections.giveBack(leased);
         } else if (mayStart()) {
-            send(leased.getConnection());
+            send(leased.getConnection().session());
         } else {
             returnConnection();
             connectionFailed();
@@ -107,7 +107,7 @@
     }
 
     private void release(boolean reusable) {
-        PoolEntry<HttpHost, IOSession> leased;
+        PoolEntry<HttpHost, EngineConnection> leased;
         synchronized (this) {
             if (released) {
                 return;
--- a/src/main/java/dunlinladder/transport/engine/EngineStreamRelay.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineStreamRelay.java
@@ -1,5 +1,6 @@
 package dunlinladder.transport.engine;
 
+import dunlinladder.core.AttemptListener;
 import dunlinladder.core.ResponseSink;
 import dunlinladder.transport.json.InvalidInputException;
 import java.nio.ByteBuffer;
@@ -17,20 +18,20 @@
     private final EngineFlowControl flowControl;
     private final AttemptProgress progress;
     private final ResponseSink client;
-    private final Runnable firstEventListener;
+    private final AttemptListener listener;
 
-    /** Creates a relay; {@code firstEventListener} runs before the first event is passed on. */
+    /** Creates a relay; {@code listener} hears of the first event. */
     EngineStreamRelay(
             EventStreamFilter filter,
             EngineFlowControl flowControl,
             AttemptProgress progress,
             ResponseSink client,
-            Runnable firstEventListener) {
+            AttemptListener listener) {
         this.filter = filter;
         this.flowControl = flowControl;
         this.progress = progress;
         this.client = client;
-        this.firstEventListener = firstEventListener;
+        this.listener = listener;
     }
 
     /** Takes a piece of the stream, all of it. */
@@ -77,7 +78,7 @@
             return;
         }
         if (arrival == AttemptProgress.Arrival.FIRST) {
-            firstEventListener.run();
+            listener.firstToken();
         }
         client.writeEvents(events, new TakenBytes(grantedBytes));
     }
--- a/src/main/java/dunlinladder/transport/engine/LeaseCallback.java
+++ b/src/main/java/dunlinladder/transport/engine/LeaseCallback.java
@@ -2,7 +2,6 @@
 
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.pool.PoolEntry;
-import org.apache.hc.core5.reactor.IOSession;
 
 /**
  * Waits for a connection of {@link EngineConnectionPool#lease}. One of the two methods is called, once: by the leasing
@@ -15,7 +14,7 @@
      *
      * @param reused whether it has carried a request before
      */
-    void connected(PoolEntry<HttpHost, IOSession> connection, boolean reused);
+    void connected(PoolEntry<HttpHost, EngineConnection> connection, boolean reused);
 
     /** No connection came up in time. */
     void notConnected();
--- a/src/test/java/dunlinladder/core/AttemptHistoryTest.java
+++ b/src/test/java/dunlinladder/core/AttemptHistoryTest.java
@@ -14,7 +14,7 @@
 
     private static Attempt attempt(int number, String engine, boolean mayHaveEffect) {
         Request request = RequestBuilder.request("id").build();
-        return new Attempt(request, number, EngineBuilder.engine(engine).build(), 10, mayHaveEffect);
+        return new Attempt(request, number, EngineBuilder.engine(engine).build(), 10, 10, mayHaveEffect);
     }
 
     @Test
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -38,6 +38,7 @@
     private final EngineRegistry engines = new EngineRegistry();
     private final Clock clock = new Clock();
     private final Counters counters = new Counters();
+    private final Instruments instruments = new Instruments(clock, counters, new CacheHoldLedger(0.5, counters));
     private final Queue<RoutingDecision> decisions = new ArrayDeque<>();
     private final Queue<Ending> endings = new ArrayDeque<>();
     private final List<String> sent = new ArrayList<>();
@@ -80,7 +81,7 @@
 
     private final EngineTransport transport = new EngineTransport() {
         @Override
-        public Call send(Attempt attempt, ResponseSink client, Runnable onFirstToken) {
+        public Call send(Attempt attempt, ResponseSink client, AttemptListener listener) {
             sent.add(attempt.engine().id());
             whileInFlight.run();
             return new Call() {
@@ -146,9 +147,9 @@
     }
 
     private void submit(int serviceClass) {
-        Dispatcher.Settings settings = new Dispatcher.Settings(10, 0.04, RULES);
-        dispatcher =
-                new Dispatcher(router, engines, transport, Runnable::run, new Instruments(clock, counters), settings);
+        Dispatcher.Settings settings = new Dispatcher.Settings(10, 0.04);
+        dispatcher = new Dispatcher(
+                router, new SendGuard(engines, RULES, instruments, 0), transport, Runnable::run, instruments, settings);
         Request request = RequestBuilder.request("id")
                 .serviceClass(serviceClass)
                 .deadline(clock.now() + 5)
--- a/src/test/java/dunlinladder/transport/engine/AttemptProgressTest.java
+++ b/src/test/java/dunlinladder/transport/engine/AttemptProgressTest.java
@@ -19,7 +19,9 @@
     /** Without an event an attempt has timed out at once; with one, after {@code streamSeconds}. */
     private AttemptProgress progress(double streamSeconds) {
         return new AttemptProgress(
-                new Clock(), 0, streamSeconds, (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
+                new Clock(),
+                new AttemptProgress.Deadlines(0, 0, streamSeconds),
+                (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
     }
 
     @Test
@@ -50,6 +52,22 @@
         assertEquals(List.of(Ending.CONNECT_FAILED, Ending.TIMEOUT, Ending.RESET), endings);
     }
 
+    /** A KV cache waits for the request to arrive, so that it is given up long before the client's deadline. */
+    @Test
+    void attemptThatIsNotOutInTimeEndsAsNeverSentAndOneThatIsMayTakeAsLongAsItsClientWaits() {
+        Clock clock = new Clock();
+        AttemptProgress.Deadlines deadlines = new AttemptProgress.Deadlines(0, clock.now() + 1000, 1);
+        AttemptProgress unsent =
+                new AttemptProgress(clock, deadlines, (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
+        assertTrue(unsent.endIfTimedOut());
+        assertFalse(unsent.beginWrite());
+        AttemptProgress sent =
+                new AttemptProgress(clock, deadlines, (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
+        sent.requestSent();
+        assertFalse(sent.endIfTimedOut());
+        assertEquals(List.of(Ending.CONNECT_FAILED), endings);
+    }
+
     @Test
     void streamDoesNotTimeOutWhileTheClientHasNotReadWhatCame() {
         AttemptProgress streaming = progress(1000);
--- a/src/test/java/dunlinladder/transport/engine/EngineConnectionFixture.java
+++ b/src/test/java/dunlinladder/transport/engine/EngineConnectionFixture.java
@@ -1,5 +1,6 @@
 package dunlinladder.transport.engine;
 
+import dunlinladder.core.CacheHoldLedger;
 import dunlinladder.core.Clock;
 import dunlinladder.core.Counters;
 import dunlinladder.core.Engine;
@@ -9,28 +10,28 @@
 import dunlinladder.core.LimitsBuilder;
 import dunlinladder.core.RequestRouter;
 import dunlinladder.core.SendGuard;
+import dunlinladder.core.ServiceRules;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.pool.PoolEntry;
-import org.apache.hc.core5.reactor.IOSession;
 
 /** A connection pool with its timer, and what the tests of this package do with it. */
 final class EngineConnectionFixture implements AutoCloseable {
 
     final Limits limits;
-    final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
     final EngineConnectionPool pool;
     final Counters counters = new Counters();
 
     EngineConnectionFixture(double releaseSeconds) {
         limits = LimitsBuilder.limits().releaseSeconds(releaseSeconds).build();
+        timer.setRemoveOnCancelPolicy(true);
         pool = new EngineConnectionPool(limits, timer, counters);
     }
 
@@ -47,20 +48,35 @@
         return new Engine(id, address, zone, 0, 0, Engine.State.ACTIVE, 1, 0);
     }
 
+    /** Requests may run again, and every engine may run them. */
+    private static final class NoRules implements ServiceRules {
+
+        @Override
+        public boolean isNonIdempotent(int serviceClass) {
+            return false;
+        }
+
+        @Override
+        public boolean isPrefillOnly(int kind) {
+            return false;
+        }
+    }
+
     /** A client of this pool that knows these engines. */
     EngineClient client(List<Engine> listed) {
         EngineRegistry engines = new EngineRegistry();
         engines.apply(RequestRouter.Scope.COMPLETE, listed);
-        SendGuard sendGuard = new SendGuard(engines, new Clock(), 0);
-        return new EngineClient(pool, engines, sendGuard, new Instruments(new Clock(), counters), limits, timer);
+        Instruments instruments = new Instruments(new Clock(), counters, new CacheHoldLedger(0, counters));
+        SendGuard sendGuard = new SendGuard(engines, new NoRules(), instruments, 0);
+        return new EngineClient(pool, engines, sendGuard, instruments, limits, timer);
     }
 
     /** Leases a connection and waits for it. */
-    PoolEntry<HttpHost, IOSession> lease(String address) {
-        CompletableFuture<PoolEntry<HttpHost, IOSession>> leased = new CompletableFuture<>();
+    PoolEntry<HttpHost, EngineConnection> lease(String address) {
+        CompletableFuture<PoolEntry<HttpHost, EngineConnection>> leased = new CompletableFuture<>();
         pool.lease(address, new LeaseCallback() {
             @Override
-            public void connected(PoolEntry<HttpHost, IOSession> connection, boolean reused) {
+            public void connected(PoolEntry<HttpHost, EngineConnection> connection, boolean reused) {
                 leased.complete(connection);
             }
 
@@ -83,7 +99,7 @@
         CountDownLatch release = new CountDownLatch(1);
         pool.lease(address, new LeaseCallback() {
             @Override
-            public void connected(PoolEntry<HttpHost, IOSession> connection, boolean reused) {
+            public void connected(PoolEntry<HttpHost, EngineConnection> connection, boolean reused) {
                 busy.countDown();
                 try {
                     release.await();
--- a/src/test/java/dunlinladder/transport/engine/EngineConnectionPoolTest.java
+++ b/src/test/java/dunlinladder/transport/engine/EngineConnectionPoolTest.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CountDownLatch;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.pool.PoolEntry;
-import org.apache.hc.core5.reactor.IOSession;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -25,7 +24,7 @@
         try (ServerSocket listener = EngineConnectionFixture.silentServer();
                 EngineConnectionFixture connections = new EngineConnectionFixture(0.25)) {
             String address = EngineConnectionFixture.addressOf(listener);
-            PoolEntry<HttpHost, IOSession> connection = connections.lease(address);
+            PoolEntry<HttpHost, EngineConnection> connection = connections.lease(address);
             try (Socket peer = listener.accept()) {
                 CountDownLatch release = connections.occupyIoThread(address);
                 try {
