--- a/src/main/java/dunlinladder/core/AttemptRunner.java
+++ b/src/main/java/dunlinladder/core/AttemptRunner.java
@@ -16,7 +16,7 @@
     private final RequestRouter router;
     private final SendGuard guard;
     private final EngineTransport transport;
-    private final Clock clock;
+    private final MonotonicClock clock;
     private final Dispatcher.Settings settings;
     private final Counters counters;
     private final CacheHoldLedger cacheHolds;
--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -18,7 +18,7 @@
     private final RequestRouter router;
     private final SendGuard guard;
     private final Executor executor;
-    private final Clock clock;
+    private final MonotonicClock clock;
     private final Settings settings;
     private final Counters counters;
     private final AttemptRunner attempts;
--- /dev/null
+++ b/src/main/java/dunlinladder/core/EngineStartTimes.java
@@ -0,0 +1,112 @@
+package dunlinladder.core;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/**
+ * When engines started, by this process's monotonic clock. Lists state it in Unix time, which compares with the
+ * machine's wall clock only while that is right, and an engine that is taken for older than it is gets more than it can
+ * bear.
+ *
+ * <ul>
+ *   <li>A start that is news to a process that has followed the list counts from when the news came.
+ *   <li>Starts from before that, in the first lists, go by the wall clock where it makes sense. A start in its future
+ *       shows that it is wrong: the latest start of all stands for the present then.
+ *   <li>A wall clock that is ahead cannot be told from engines that are old. Where few engines started last, they count
+ *       as started just now: for a while they get less than they could bear, which does no harm.
+ * </ul>
+ *
+ * <p>One thread at a time.
+ */
+public final class EngineStartTimes {
+
+    /** What stands for a start long ago. */
+    private static final double LONG_AGO = 0;
+    /** Least time that is not "long ago". */
+    private static final double EARLIEST = 1;
+    /** By which wall clocks of a fleet may differ without one of them being wrong. */
+    private static final double CLOCK_SKEW_SECONDS = 1;
+    /** One part in this many of the engines is few. */
+    private static final int LISTED_PER_FEW = 4;
+    /** Engines of which the start is remembered, those that have left included. */
+    private static final int MAX_KNOWN = 8192;
+
+    private final MonotonicClock clock;
+    private final WallClock wallClock;
+    private final double warmUpSeconds;
+    private final Map<String, Start> known = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Start> eldest) {
+            return size() > MAX_KNOWN;
+        }
+    };
+    /** Whether discovery has answered, so that what it says from now on is news. */
+    private boolean following;
+
+    /** A start as it was stated, in Unix seconds, and as clock time. */
+    private record Start(double stated, double at) {}
+
+    /** Creates it for a fleet whose engines are warm after {@code warmUpSeconds}. */
+    public EngineStartTimes(MonotonicClock clock, WallClock wallClock, double warmUpSeconds) {
+        this.clock = clock;
+        this.wallClock = wallClock;
+        this.warmUpSeconds = warmUpSeconds;
+    }
+
+    /**
+     * Translates the engines of an update from Unix time to the clock's; updates come in their order.
+     *
+     * @param cached whether the list is from before this process started
+     */
+    public List<Engine> onClock(List<Engine> stated, boolean cached) {
+        double now = clock.now();
+        Present present = following ? null : present(stated);
+        List<Engine> translated = stated.stream()
+                .map(engine -> engine.withStartedAt(startedAt(engine, now, present)))
+                .collect(Collectors.toList());
+        following |= !cached;
+        return translated;
+    }
+
+    private double startedAt(Engine engine, double now, Present present) {
+        if (engine.startedAt() <= 0) {
+            return LONG_AGO;
+        }
+        Start before = known.get(engine.id());
+        if (before != null && before.stated == engine.startedAt()) {
+            return before.at;
+        }
+        double at = present == null ? now : Math.max(EARLIEST, now - present.age(engine.startedAt()));
+        known.put(engine.id(), new Start(engine.startedAt(), at));
+        return at;
+    }
+
+    /**
+     * What the first lists are read by.
+     *
+     * @param unixSeconds the present
+     * @param doubtfulSince starts at or after it count as just now
+     */
+    private record Present(double unixSeconds, double doubtfulSince) {
+
+        double age(double startedAt) {
+            return startedAt >= doubtfulSince ? 0 : Math.max(0, unixSeconds - startedAt);
+        }
+    }
+
+    private Present present(List<Engine> stated) {
+        double latest = stated.stream().mapToDouble(Engine::startedAt).max().orElse(0);
+        double wall = wallClock.now();
+        double unixSeconds = latest > wall + CLOCK_SKEW_SECONDS ? latest : wall;
+        double newestSince = latest - warmUpSeconds;
+        long newest = stated.stream()
+                .filter(engine -> engine.startedAt() > 0 && engine.startedAt() >= newestSince)
+                .count();
+        boolean few = newest * LISTED_PER_FEW <= stated.size();
+        return new Present(unixSeconds, few ? newestSince : Double.POSITIVE_INFINITY);
+    }
+}
--- a/src/main/java/dunlinladder/core/Instruments.java
+++ b/src/main/java/dunlinladder/core/Instruments.java
@@ -7,4 +7,4 @@
  * @param counters the gateway's counts
  * @param cacheHolds the KV caches that wait at engines
  */
-public record Instruments(Clock clock, Counters counters, CacheHoldLedger cacheHolds) {}
+public record Instruments(MonotonicClock clock, Counters counters, CacheHoldLedger cacheHolds) {}
--- a/src/main/java/dunlinladder/core/SendGuard.java
+++ b/src/main/java/dunlinladder/core/SendGuard.java
@@ -19,7 +19,7 @@
 
     private final EngineRegistry engines;
     private final ServiceRules rules;
-    private final Clock clock;
+    private final MonotonicClock clock;
     private final Counters counters;
     private final double maxWaitSeconds;
     private volatile BooleanSupplier unreadUpdate = () -> false;
--- a/src/main/java/dunlinladder/lifecycle/EndpointUpdatePublisher.java
+++ b/src/main/java/dunlinladder/lifecycle/EndpointUpdatePublisher.java
@@ -1,8 +1,11 @@
 package dunlinladder.lifecycle;
 
+import dunlinladder.core.Engine;
 import dunlinladder.core.EngineRegistry;
+import dunlinladder.core.EngineStartTimes;
 import dunlinladder.core.RequestRouter;
 import dunlinladder.membership.EndpointUpdate;
+import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
@@ -22,12 +25,14 @@
 
     private final EngineRegistry engines;
     private final RequestRouter router;
+    private final EngineStartTimes startTimes;
     private final Executor notifications =
             Executors.newSingleThreadExecutor(task -> DaemonThreads.create(task, "endpoint-updates"));
 
-    EndpointUpdatePublisher(EngineRegistry engines, RequestRouter router) {
+    EndpointUpdatePublisher(EngineRegistry engines, RequestRouter router, EngineStartTimes startTimes) {
         this.engines = engines;
         this.router = router;
+        this.startTimes = startTimes;
     }
 
     /** Puts one update in force; a snapshot without engines is passed over, as it can only be a fault of discovery. */
@@ -36,13 +41,14 @@
         if (update.isSnapshot() && update.engines().isEmpty()) {
             return;
         }
-        engines.apply(update.scope(), update.engines());
+        List<Engine> named = startTimes.onClock(update.engines(), update.scope() == RequestRouter.Scope.CACHED);
+        engines.apply(update.scope(), named);
         LOG.debug(
                 "event=endpoints_updated version={} scope={} named={} listed={}",
                 update.version(),
                 update.scope(),
                 update.engines().size(),
                 engines.size());
-        notifications.execute(() -> router.endpointsUpdated(update.scope(), update.engines()));
+        notifications.execute(() -> router.endpointsUpdated(update.scope(), named));
     }
 }
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -1,7 +1,7 @@
 package dunlinladder.lifecycle;
 
-import dunlinladder.core.Clock;
 import dunlinladder.core.Limits;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.migration.Generation;
 import dunlinladder.transport.chat.TranslationWarmup;
 import dunlinladder.transport.http.HttpListener;
@@ -68,7 +68,7 @@
         this.limits = config.limits();
         parts = new GatewayAssembly(config, chat, timer, () -> state);
         wallClockMonitor = new WallClockMonitor(
-                System::currentTimeMillis, System::nanoTime, parts.instruments().counters());
+                parts.wallClock(), parts.clock()::now, parts.instruments().counters());
         scheduleRecurringTasks();
     }
 
@@ -91,7 +91,7 @@
                 COUNTERS_INTERVAL_SECONDS,
                 COUNTERS_INTERVAL_SECONDS,
                 TimeUnit.SECONDS);
-        Clock clock = parts.clock();
+        MonotonicClock clock = parts.clock();
         parts.eligibility()
                 .ifPresent(eligibility -> timer.scheduleWithFixedDelay(
                         new MigrationStatusLog(eligibility, clock),
--- a/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
@@ -1,14 +1,16 @@
 package dunlinladder.lifecycle;
 
 import dunlinladder.core.CacheHoldLedger;
-import dunlinladder.core.Clock;
 import dunlinladder.core.Counters;
 import dunlinladder.core.Dispatcher;
 import dunlinladder.core.Engine;
 import dunlinladder.core.EngineRegistry;
+import dunlinladder.core.EngineStartTimes;
 import dunlinladder.core.Instruments;
 import dunlinladder.core.Limits;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.SendGuard;
+import dunlinladder.core.WallClock;
 import dunlinladder.membership.EndpointUpdate;
 import dunlinladder.migration.EngineEligibility;
 import dunlinladder.migration.EngineStage;
@@ -52,7 +54,8 @@
 
     private final GatewayConfig config;
     private final Limits limits;
-    private final Clock clock = new Clock();
+    private final MonotonicClock clock = new MonotonicClock();
+    private final WallClock wallClock = WallClock.ofThisMachine();
     private final Counters counters = new Counters();
     private final Instruments instruments;
     private final EngineRegistry engines = new EngineRegistry();
@@ -116,7 +119,10 @@
         chatFront = chat.isPresent()
                 ? Optional.of(createChatFront(connectionsPerFront, chat.get().settings()))
                 : Optional.empty();
-        endpointUpdates = new EndpointUpdatePublisher(engines, router);
+        endpointUpdates = new EndpointUpdatePublisher(
+                engines,
+                router,
+                new EngineStartTimes(clock, wallClock, config.routing().rules().cold()));
         endpointWatcher = createEndpointWatcher();
         sendGuard.setUnreadUpdateCheck(endpointWatcher::hasUnreadUpdate);
     }
@@ -208,10 +214,14 @@
                 endpointUpdates);
     }
 
-    Clock clock() {
+    MonotonicClock clock() {
         return clock;
     }
 
+    WallClock wallClock() {
+        return wallClock;
+    }
+
     Instruments instruments() {
         return instruments;
     }
--- a/src/main/java/dunlinladder/lifecycle/MigrationStatusLog.java
+++ b/src/main/java/dunlinladder/lifecycle/MigrationStatusLog.java
@@ -1,6 +1,6 @@
 package dunlinladder.lifecycle;
 
-import dunlinladder.core.Clock;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.migration.EngineEligibility;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -14,10 +14,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(MigrationStatusLog.class);
 
     private final EngineEligibility eligibility;
-    private final Clock clock;
+    private final MonotonicClock clock;
     private String lastLogged = "";
 
-    MigrationStatusLog(EngineEligibility eligibility, Clock clock) {
+    MigrationStatusLog(EngineEligibility eligibility, MonotonicClock clock) {
         this.eligibility = eligibility;
         this.clock = clock;
     }
--- a/src/main/java/dunlinladder/lifecycle/WallClockMonitor.java
+++ b/src/main/java/dunlinladder/lifecycle/WallClockMonitor.java
@@ -2,7 +2,8 @@
 
 import dunlinladder.core.Counter;
 import dunlinladder.core.Counters;
-import java.util.function.LongSupplier;
+import dunlinladder.core.WallClock;
+import java.util.function.DoubleSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -14,36 +15,38 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(WallClockMonitor.class);
 
-    private static final long NANOS_PER_MILLI = 1_000_000;
     /** Above the steps by which a clock is slewed, and what passes between two readings. */
-    private static final long MIN_STEP_MILLIS = 100;
+    private static final double MIN_STEP_SECONDS = 0.1;
 
-    private final LongSupplier wallMillis;
-    private final LongSupplier monotonicNanos;
+    /** The log states milliseconds. */
+    private static final double ROUNDING = 1e3;
+
+    private final WallClock wallClock;
+    private final DoubleSupplier monotonicSeconds;
     private final Counters counters;
-    private long lastOffsetMillis;
+    private double lastOffsetSeconds;
 
     /** Starts with the clocks as they are. */
-    WallClockMonitor(LongSupplier wallMillis, LongSupplier monotonicNanos, Counters counters) {
-        this.wallMillis = wallMillis;
-        this.monotonicNanos = monotonicNanos;
+    WallClockMonitor(WallClock wallClock, DoubleSupplier monotonicSeconds, Counters counters) {
+        this.wallClock = wallClock;
+        this.monotonicSeconds = monotonicSeconds;
         this.counters = counters;
-        this.lastOffsetMillis = offsetMillis();
+        this.lastOffsetSeconds = offsetSeconds();
     }
 
-    private long offsetMillis() {
-        return wallMillis.getAsLong() - monotonicNanos.getAsLong() / NANOS_PER_MILLI;
+    private double offsetSeconds() {
+        return wallClock.now() - monotonicSeconds.getAsDouble();
     }
 
     /** Compares the clocks; to be called often. */
     void check() {
-        long offsetMillis = offsetMillis();
-        long step = offsetMillis - lastOffsetMillis;
-        if (Math.abs(step) < MIN_STEP_MILLIS) {
+        double offsetSeconds = offsetSeconds();
+        double step = offsetSeconds - lastOffsetSeconds;
+        if (Math.abs(step) < MIN_STEP_SECONDS) {
             return;
         }
-        lastOffsetMillis = offsetMillis;
+        lastOffsetSeconds = offsetSeconds;
         counters.increment(Counter.WALL_CLOCK_STEPS);
-        LOG.warn("event=wall_clock_stepped millis={}", step);
+        LOG.warn("event=wall_clock_stepped seconds={}", Math.round(step * ROUNDING) / ROUNDING);
     }
 }
--- a/src/main/java/dunlinladder/routing/BlockingRequestRouter.java
+++ b/src/main/java/dunlinladder/routing/BlockingRequestRouter.java
@@ -1,8 +1,8 @@
 package dunlinladder.routing;
 
 import dunlinladder.core.Attempt;
-import dunlinladder.core.Clock;
 import dunlinladder.core.Engine;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Outcome;
 import dunlinladder.core.Request;
 import dunlinladder.core.RequestRouter;
@@ -41,7 +41,7 @@
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition timerSet = lock.newCondition();
     private final Router router;
-    private final Clock clock;
+    private final MonotonicClock clock;
     private final Consumer<String> cacheReleases;
     private final DoubleSupplier schedulingLag;
     private final RoutingSettings settings;
@@ -67,7 +67,7 @@
     public BlockingRequestRouter(
             RoutingSettings settings,
             long seed,
-            Clock clock,
+            MonotonicClock clock,
             Consumer<String> cacheReleases,
             DoubleSupplier schedulingLag,
             double maxSchedulingLag) {
--- a/src/main/java/dunlinladder/transport/chat/ChatExchange.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatExchange.java
@@ -4,10 +4,10 @@
 import dunlinladder.apiformat.ApiFormat;
 import dunlinladder.apiformat.ErrorTranslator;
 import dunlinladder.apiformat.ReplyTranslator;
-import dunlinladder.core.Clock;
 import dunlinladder.core.Dispatcher;
 import dunlinladder.core.EngineRegistry;
 import dunlinladder.core.Limits;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Request;
 import dunlinladder.core.ResponseSink;
 import dunlinladder.migration.EngineEligibility;
@@ -56,7 +56,7 @@
             ChatSettings settings,
             EngineEligibility routing,
             EngineRegistry engines,
-            Clock clock,
+            MonotonicClock clock,
             Limits limits,
             BooleanSupplier closing,
             AtomicLong bodies) {}
--- a/src/main/java/dunlinladder/transport/chat/ChatReplyRelay.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatReplyRelay.java
@@ -1,7 +1,7 @@
 package dunlinladder.transport.chat;
 
 import dunlinladder.apiformat.ServerSentEventReader;
-import dunlinladder.core.Clock;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.transport.json.InvalidInputException;
 import dunlinladder.transport.json.JsonObject;
 import java.nio.ByteBuffer;
@@ -20,7 +20,7 @@
     private static final String DONE = "[DONE]";
 
     private final ClientRequest client;
-    private final Clock clock;
+    private final MonotonicClock clock;
     /** Opens the client's stream where it is not open and gives the text that goes to it next. */
     private final Supplier<StringBuilder> output;
 
@@ -34,7 +34,7 @@
     private Object finishReason;
     private Map<String, Object> usage = Map.of();
 
-    ChatReplyRelay(ClientRequest client, Clock clock, Supplier<StringBuilder> output) {
+    ChatReplyRelay(ClientRequest client, MonotonicClock clock, Supplier<StringBuilder> output) {
         this.client = client;
         this.clock = clock;
         this.output = output;
--- a/src/main/java/dunlinladder/transport/discovery/EndpointListReader.java
+++ b/src/main/java/dunlinladder/transport/discovery/EndpointListReader.java
@@ -47,7 +47,7 @@
 
     private Engine engine(JsonObject host) {
         Engine.State state = state(host.text("health"));
-        // born_ms is Unix time, as the clock's seconds are.
+        // born_ms is Unix time; EngineStartTimes translates it.
         return new Engine(
                 host.text("host"),
                 host.text("dial", ""),
--- a/src/main/java/dunlinladder/transport/discovery/EndpointWatcher.java
+++ b/src/main/java/dunlinladder/transport/discovery/EndpointWatcher.java
@@ -1,6 +1,6 @@
 package dunlinladder.transport.discovery;
 
-import dunlinladder.core.Clock;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.membership.EndpointUpdate;
 import dunlinladder.membership.WatchCommand;
 import dunlinladder.membership.WatchEvent;
@@ -36,7 +36,7 @@
 
     private final EndpointListReader reader;
     private final WatchTimeouts timeouts;
-    private final Clock clock;
+    private final MonotonicClock clock;
     private final Consumer<EndpointUpdate> updates;
     private final Map<Integer, WatchCall> calls = new ConcurrentHashMap<>();
     private WatchStateMachine state;
@@ -55,7 +55,7 @@
     public EndpointWatcher(
             EndpointListReader reader,
             WatchTimeouts timeouts,
-            Clock clock,
+            MonotonicClock clock,
             long version,
             long seed,
             Consumer<EndpointUpdate> updates) {
--- a/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
+++ b/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
@@ -1,6 +1,6 @@
 package dunlinladder.transport.engine;
 
-import dunlinladder.core.Clock;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Outcome;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -41,7 +41,7 @@
     /** The deadline moves with each event, so a waiting thread looks at it this often in one allowed silence. */
     private static final int CHECKS_PER_SILENCE = 8;
 
-    private final Clock clock;
+    private final MonotonicClock clock;
     private final Deadlines deadlines;
     private final EndListener listener;
     private final double startedAt;
@@ -62,7 +62,7 @@
     record Deadlines(double send, double firstEvent, double streamSeconds) {}
 
     /** Starts now. */
-    AttemptProgress(Clock clock, Deadlines deadlines, EndListener listener) {
+    AttemptProgress(MonotonicClock clock, Deadlines deadlines, EndListener listener) {
         this.clock = clock;
         this.deadlines = deadlines;
         this.listener = listener;
--- a/src/main/java/dunlinladder/transport/engine/EngineCallContext.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCallContext.java
@@ -1,7 +1,7 @@
 package dunlinladder.transport.engine;
 
-import dunlinladder.core.Clock;
 import dunlinladder.core.Limits;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.SendGuard;
 
 /**
@@ -12,4 +12,4 @@
  * @param clock the clock of the attempts' deadlines
  * @param limits sizes and times of a call
  */
-record EngineCallContext(EngineConnectionPool connections, SendGuard sendGuard, Clock clock, Limits limits) {}
+record EngineCallContext(EngineConnectionPool connections, SendGuard sendGuard, MonotonicClock clock, Limits limits) {}
--- a/src/main/java/dunlinladder/transport/platform/PlatformExchange.java
+++ b/src/main/java/dunlinladder/transport/platform/PlatformExchange.java
@@ -1,8 +1,8 @@
 package dunlinladder.transport.platform;
 
-import dunlinladder.core.Clock;
 import dunlinladder.core.Dispatcher;
 import dunlinladder.core.Limits;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.ResponseSink;
 import dunlinladder.core.Seconds;
 import dunlinladder.transport.engine.EngineRequest;
@@ -40,7 +40,7 @@
     public record Shared(
             Dispatcher dispatcher,
             PlatformRequestReader reader,
-            Clock clock,
+            MonotonicClock clock,
             Limits limits,
             BooleanSupplier draining,
             BooleanSupplier closing,
--- a/src/test/java/dunlinladder/ArchitectureTest.java
+++ b/src/test/java/dunlinladder/ArchitectureTest.java
@@ -9,6 +9,7 @@
 import com.tngtech.archunit.core.domain.properties.HasName;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import dunlinladder.core.WallClock;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -94,6 +95,50 @@
                 .check(classes);
     }
 
+    /** Spans are counted by the monotonic clock: the wall clock is read in one place. */
+    @Test
+    void onlyTheWallClockReadsTheWallClock() {
+        noClasses()
+                .that()
+                .doNotHaveFullyQualifiedName(WallClock.class.getName())
+                .should()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .dependOnClassesThat()
+                .resideInAnyPackage("java.time..")
+                .orShould()
+                .dependOnClassesThat()
+                .haveFullyQualifiedName("java.util.Date")
+                .orShould()
+                .dependOnClassesThat()
+                .haveFullyQualifiedName("java.util.Timer")
+                .check(classes);
+    }
+
+    /** Waits until a moment of the wall clock, and time-outs that HttpCore counts by it. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "parkUntil",
+                "awaitUntil",
+                "updateExpiry",
+                "closeExpired",
+                "closeIdle",
+                "setSocketTimeout",
+                "ofMilliseconds",
+                "ofSeconds"
+            })
+    void nothingWaitsByTheWallClock(String method) {
+        noClasses()
+                .should()
+                .callMethodWhere(DescribedPredicate.describe(
+                        "waits by the wall clock by " + method,
+                        call -> call.getName().equals(method)
+                                && !call.getTargetOwner().getPackageName().startsWith("dunlinladder")
+                                && !call.getTargetOwner().getSimpleName().equals("TimeValue")))
+                .check(classes);
+    }
+
     /** What the gateway and the simulator's adapter see of the policy: its interface, its facade and its creation. */
     private static final String[] VISIBLE_POLICY_TYPES = {
         "BlockingRequestRouter", "Router", "RoutingAction", "RoutingEvent", "RoutingPolicy", "RoutingSettings"
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -36,7 +36,7 @@
     };
 
     private final EngineRegistry engines = new EngineRegistry();
-    private final Clock clock = new Clock();
+    private final MonotonicClock clock = new MonotonicClock();
     private final Counters counters = new Counters();
     private final Instruments instruments = new Instruments(clock, counters, new CacheHoldLedger(0.5, counters));
     private final Queue<RoutingDecision> decisions = new ArrayDeque<>();
--- /dev/null
+++ b/src/test/java/dunlinladder/core/EngineStartTimesTest.java
@@ -0,0 +1,81 @@
+package dunlinladder.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** An engine is never taken for older than it is because a wall clock is wrong. */
+class EngineStartTimesTest {
+
+    private static final double UNIX_NOW = 1.7e9;
+    private static final double WARM_UP_SECONDS = 14;
+    /** Between two readings of the clock. */
+    private static final double TOLERANCE_SECONDS = 5;
+
+    private final MonotonicClock clock = new MonotonicClock();
+    private double wallError;
+    private final EngineStartTimes times = new EngineStartTimes(clock, () -> UNIX_NOW + wallError, WARM_UP_SECONDS);
+
+    private static Engine engine(String id, double unixStart) {
+        return EngineBuilder.engine(id).startedAt(unixStart).build();
+    }
+
+    /** Engines at work since long ago, and one that started so many seconds ago. */
+    private static List<Engine> fleetWithOneStarted(double secondsAgo) {
+        List<Engine> engines = new ArrayList<>();
+        for (int i = 0; i < 7; i++) {
+            engines.add(engine("old-" + i, 0));
+        }
+        engines.add(engine("new", UNIX_NOW - secondsAgo));
+        return engines;
+    }
+
+    private double ageOf(String id, List<Engine> listed) {
+        Engine found = listed.stream()
+                .filter(engine -> engine.id().equals(id))
+                .findFirst()
+                .orElseThrow();
+        return clock.now() - found.startedAt();
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 3600, -3600, 5, -5})
+    void engineOfTheFirstListThatStartedJustNowIsYoung(double error) {
+        wallError = error;
+        assertTrue(ageOf("new", times.onClock(fleetWithOneStarted(2), true)) < TOLERANCE_SECONDS);
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 3600, -3600})
+    void newsOfAStartCountsFromItsArrivalAndStands(double error) {
+        times.onClock(fleetWithOneStarted(100), false);
+        wallError = error;
+        List<Engine> restarted = List.of(engine("old-3", UNIX_NOW + 40));
+        double startedAt = times.onClock(restarted, false).get(0).startedAt();
+        assertTrue(clock.now() - startedAt < TOLERANCE_SECONDS);
+        assertEquals(startedAt, times.onClock(restarted, false).get(0).startedAt());
+    }
+
+    @Test
+    void fleetThatStartedTogetherIsAsOldAsTheWallClockSays() {
+        List<Engine> fleet = List.of(engine("a", UNIX_NOW - 300), engine("b", UNIX_NOW - 301));
+        assertEquals(300, ageOf("a", times.onClock(fleet, true)), TOLERANCE_SECONDS);
+    }
+
+    @Test
+    void startsInTheFutureShowAWrongClockAndCountFromTheLatest() {
+        wallError = -3600;
+        List<Engine> fleet = List.of(engine("a", UNIX_NOW - 1), engine("b", UNIX_NOW - 101));
+        assertEquals(100, ageOf("b", times.onClock(fleet, true)), TOLERANCE_SECONDS);
+    }
+
+    @Test
+    void startLongAgoStaysSo() {
+        assertEquals(0, times.onClock(fleetWithOneStarted(2), true).get(0).startedAt());
+    }
+}
--- a/src/test/java/dunlinladder/routing/BlockingRequestRouterTest.java
+++ b/src/test/java/dunlinladder/routing/BlockingRequestRouterTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
-import dunlinladder.core.Clock;
 import dunlinladder.core.Engine;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Request;
 import dunlinladder.core.RequestBuilder;
 import dunlinladder.core.RequestRouter;
@@ -23,7 +23,7 @@
 class BlockingRequestRouterTest {
 
     private volatile double lag = 1;
-    private final Clock clock = new Clock();
+    private final MonotonicClock clock = new MonotonicClock();
     private final List<String> released = new ArrayList<>();
     /** With an aim of 100 s, half of which a request waits: a stalled machine does not decide a test. */
     private final BlockingRequestRouter decisions = new BlockingRequestRouter(
--- a/src/test/java/dunlinladder/transport/discovery/EndpointWatcherTest.java
+++ b/src/test/java/dunlinladder/transport/discovery/EndpointWatcherTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dunlinladder.core.Clock;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.membership.Backoff;
 import dunlinladder.membership.EndpointUpdate;
 import dunlinladder.membership.WatchTimeouts;
@@ -51,7 +51,7 @@
 
     private EndpointWatcher watch(StubDiscovery discovery, Consumer<EndpointUpdate> updates) {
         EndpointWatcher watcher = new EndpointWatcher(
-                new EndpointListReader(List.of(), List.of()), TIMEOUTS, new Clock(), VERSION, 1, updates);
+                new EndpointListReader(List.of(), List.of()), TIMEOUTS, new MonotonicClock(), VERSION, 1, updates);
         watcher.moveTo(discovery.address());
         watching = new Thread(watcher, "watching");
         watching.start();
--- a/src/test/java/dunlinladder/transport/engine/AttemptProgressTest.java
+++ b/src/test/java/dunlinladder/transport/engine/AttemptProgressTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dunlinladder.core.Clock;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Outcome;
 import dunlinladder.core.Outcome.Ending;
 import java.util.ArrayList;
@@ -19,7 +19,7 @@
     /** Without an event an attempt has timed out at once; with one, after {@code streamSeconds}. */
     private AttemptProgress progress(double streamSeconds) {
         return new AttemptProgress(
-                new Clock(),
+                new MonotonicClock(),
                 new AttemptProgress.Deadlines(0, 0, streamSeconds),
                 (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
     }
@@ -55,7 +55,7 @@
     /** A KV cache waits for the request to arrive, so that it is given up long before the client's deadline. */
     @Test
     void attemptThatIsNotOutInTimeEndsAsNeverSentAndOneThatIsMayTakeAsLongAsItsClientWaits() {
-        Clock clock = new Clock();
+        MonotonicClock clock = new MonotonicClock();
         AttemptProgress.Deadlines deadlines = new AttemptProgress.Deadlines(0, clock.now() + 1000, 1);
         AttemptProgress unsent =
                 new AttemptProgress(clock, deadlines, (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
--- a/src/test/java/dunlinladder/transport/engine/EngineConnectionFixture.java
+++ b/src/test/java/dunlinladder/transport/engine/EngineConnectionFixture.java
@@ -1,13 +1,13 @@
 package dunlinladder.transport.engine;
 
 import dunlinladder.core.CacheHoldLedger;
-import dunlinladder.core.Clock;
 import dunlinladder.core.Counters;
 import dunlinladder.core.Engine;
 import dunlinladder.core.EngineRegistry;
 import dunlinladder.core.Instruments;
 import dunlinladder.core.Limits;
 import dunlinladder.core.LimitsBuilder;
+import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.RequestRouter;
 import dunlinladder.core.SendGuard;
 import dunlinladder.core.ServiceRules;
@@ -66,7 +66,7 @@
     EngineClient client(List<Engine> listed) {
         EngineRegistry engines = new EngineRegistry();
         engines.apply(RequestRouter.Scope.COMPLETE, listed);
-        Instruments instruments = new Instruments(new Clock(), counters, new CacheHoldLedger(0, counters));
+        Instruments instruments = new Instruments(new MonotonicClock(), counters, new CacheHoldLedger(0, counters));
         SendGuard sendGuard = new SendGuard(engines, new NoRules(), instruments, 0);
         return new EngineClient(pool, engines, sendGuard, instruments, limits, timer);
     }
