Accept goes on after any failure; errors and failed runs end no request, listener or task

Cause: HttpCore's accepting thread ends with the first IOException of accept but ECONNABORTED, closes the listening socket and leaves a process that lives and refuses (SystemCallFaultsTest, four errnos). Change: ConnectionAcceptor accepts by itself, with a pause that grows and jitter; the channels go to HttpCore's I/O thread by one bridge in its package, as it has no public way. The same class elsewhere, something that ends for good with one failure: recurring tasks of the timer and the routing timers go on after a fault; Dispatcher answers a request that an Error stops, a thread that cannot be made among them; AppliedState writes all bytes and syncs the folder, reads at most 1 MB of a file.

--- a/src/main/java/dunlinladder/core/Counter.java
+++ b/src/main/java/dunlinladder/core/Counter.java
@@ -42,6 +42,8 @@
     REJECTIONS_REFUSED,
     /** Violations of an invariant: a KV cache was held too long; see {@link CacheHoldLedger}. */
     INVARIANT_CACHE_HELD,
+    /** Failures of accept. */
+    ACCEPT_FAILURES,
     /** Steps of the machine's wall clock. */
     WALL_CLOCK_STEPS;
 
--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -70,7 +70,8 @@
                 throw new RejectedExecutionException("over " + settings.maxRequests() + " requests");
             }
             executor.execute(() -> drive(accepted));
-        } catch (RejectedExecutionException e) {
+        } catch (RejectedExecutionException | OutOfMemoryError e) {
+            // The latter where the system lets the process have no further thread.
             inFlight.remove(request.id());
             counters.increment(Counter.REQUESTS_REJECTED);
             LOG.warn("event=request_not_accepted request={} reason=\"{}\"", request.id(), e.getMessage());
@@ -97,7 +98,7 @@
         } catch (InterruptedException e) {
             interrupted = true;
             failInternally(request, e);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // Of any kind: a fault of the gateway's own must not cost the client its final answer.
             failInternally(request, e);
         } finally {
@@ -108,7 +109,7 @@
         }
     }
 
-    private void failInternally(InFlightRequest request, Exception fault) {
+    private void failInternally(InFlightRequest request, Throwable fault) {
         String id = request.request().id();
         LOG.error("event=request_error request={}", id, fault);
         router.clientDisconnected(id);
--- a/src/main/java/dunlinladder/lifecycle/AppliedState.java
+++ b/src/main/java/dunlinladder/lifecycle/AppliedState.java
@@ -3,6 +3,7 @@
 import dunlinladder.transport.json.InvalidInputException;
 import dunlinladder.transport.json.JsonObject;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -27,6 +28,8 @@
     private static final String BASE_FIELD = "base";
 
     private static final String SETTINGS_FIELD = "settings";
+    /** Far above what an operator's file comes to. */
+    private static final long MAX_BYTES = 1024 * 1024;
 
     /** Reads the applied state; an absent file is the state before the first apply. */
     static AppliedState read(Path file) throws IOException {
@@ -39,6 +42,9 @@
     }
 
     private static AppliedState read(Path file, String serialField) throws IOException {
+        if (!Files.isRegularFile(file) || Files.size(file) > MAX_BYTES) {
+            throw new InvalidInputException(file + ": not a file of at most " + MAX_BYTES + " bytes");
+        }
         try {
             JsonObject json = JsonObject.parse(Files.readString(file));
             JsonObject settings = json.child(SETTINGS_FIELD);
@@ -60,6 +66,13 @@
         write(file, BASE_FIELD);
     }
 
+    /** Without it a crash may bring the old file back after this has reported success. */
+    private static void syncFolderOf(Path file) throws IOException {
+        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
+            folder.force(true);
+        }
+    }
+
     /** Replaces the file in one step, so that a crash leaves the old one. */
     private void write(Path file, String serialField) throws IOException {
         String text = JsonObject.write(Map.of(serialField, serial, SETTINGS_FIELD, settings.values())) + "\n";
@@ -67,10 +80,14 @@
                 file.toAbsolutePath().getParent(), file.getFileName().toString(), ".part");
         try {
             try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.WRITE)) {
-                channel.write(StandardCharsets.UTF_8.encode(text));
+                ByteBuffer bytes = StandardCharsets.UTF_8.encode(text);
+                while (bytes.hasRemaining()) {
+                    channel.write(bytes);
+                }
                 channel.force(true);
             }
             Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            syncFolderOf(file);
         } finally {
             Files.deleteIfExists(temporary);
         }
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -82,29 +82,30 @@
 
     private void scheduleRecurringTasks() {
         timer.scheduleWithFixedDelay(
-                this::checkSchedulingLag,
+                new RecurringTask("scheduling-lag", this::checkSchedulingLag),
                 0,
                 (long) (limits.schedulingLagCheckSeconds() * MICROS_PER_SECOND),
                 TimeUnit.MICROSECONDS);
         timer.scheduleWithFixedDelay(
-                new CountersLog(parts.instruments().counters()),
+                new RecurringTask(
+                        "counters", new CountersLog(parts.instruments().counters())),
                 COUNTERS_INTERVAL_SECONDS,
                 COUNTERS_INTERVAL_SECONDS,
                 TimeUnit.SECONDS);
         MonotonicClock clock = parts.clock();
         parts.eligibility()
                 .ifPresent(eligibility -> timer.scheduleWithFixedDelay(
-                        new MigrationStatusLog(eligibility, clock),
+                        new RecurringTask("migration-status", new MigrationStatusLog(eligibility, clock)),
                         MIGRATION_INTERVAL_SECONDS,
                         MIGRATION_INTERVAL_SECONDS,
                         TimeUnit.SECONDS));
         timer.scheduleWithFixedDelay(
-                () -> parts.fronts().forEach(HttpListener::sweep),
+                new RecurringTask("client-sweep", () -> parts.fronts().forEach(HttpListener::sweep)),
                 SWEEP_INTERVAL_MILLIS,
                 SWEEP_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(
-                parts.engineConnections()::closeIdle,
+                new RecurringTask("engine-sweep", parts.engineConnections()::closeIdle),
                 ENGINE_SWEEP_INTERVAL_SECONDS,
                 ENGINE_SWEEP_INTERVAL_SECONDS,
                 TimeUnit.SECONDS);
@@ -153,9 +154,10 @@
     }
 
     private void runRoutingTimers() {
+        RecurringTask.Body timers = parts.router()::runTimers;
         try {
             while (true) {
-                parts.router().runTimers();
+                RecurringTask.runGuarded("routing-timers", timers);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -165,11 +167,11 @@
     /** Runs {@code task} on a thread of its own about once a second while discovery does not answer. */
     void whileDiscoveryIsLost(Runnable task) {
         timer.scheduleWithFixedDelay(
-                () -> {
+                new RecurringTask("configuration", () -> {
                     if (parts.endpointWatcher().lastCallFailed()) {
                         DaemonThreads.create(task, "configuration").start();
                     }
-                },
+                }),
                 DISCOVERY_CHECK_INTERVAL_SECONDS,
                 DISCOVERY_CHECK_INTERVAL_SECONDS,
                 TimeUnit.SECONDS);
@@ -214,7 +216,7 @@
         Thread.sleep((long) (limits.drainSeconds() * MILLIS_PER_SECOND));
     }
 
-    private void stopAccepting() throws IOException {
+    private void stopAccepting() throws InterruptedException {
         state = LifecycleState.CLOSING;
         for (HttpListener front : parts.fronts()) {
             front.stopListening();
--- a/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
@@ -165,7 +165,7 @@
                 () -> state.get().isDraining(),
                 () -> state.get().isClosing(),
                 bodyBytes);
-        return new HttpListener(maxConnections, limits, () -> new PlatformExchange(shared));
+        return new HttpListener(maxConnections, limits, counters, () -> new PlatformExchange(shared));
     }
 
     private HttpListener createChatFront(int maxConnections, ChatSettings settings) throws IOException {
@@ -178,7 +178,7 @@
                 limits,
                 () -> state.get().isClosing(),
                 bodyBytes);
-        return new HttpListener(maxConnections, limits, () -> new ChatExchange(shared));
+        return new HttpListener(maxConnections, limits, counters, () -> new ChatExchange(shared));
     }
 
     /** Which engines may have which of the chat front's requests. */
--- a/src/main/java/dunlinladder/transport/http/HttpListener.java
+++ b/src/main/java/dunlinladder/transport/http/HttpListener.java
@@ -1,29 +1,30 @@
 package dunlinladder.transport.http;
 
+import dunlinladder.core.Counters;
 import dunlinladder.core.Limits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
 import java.util.Comparator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.function.Supplier;
-import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestValidateHost;
 import org.apache.hc.core5.http.protocol.ResponseContent;
 import org.apache.hc.core5.http.protocol.ResponseDate;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.io.Closer;
+import org.apache.hc.core5.reactor.AcceptedChannelReactor;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorShutdownException;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
-import org.apache.hc.core5.reactor.IOWorkerStats;
-import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -33,9 +34,9 @@
 /**
  * One listening address and the client connections that came in by it.
  *
- * <p>Threads: HttpCore's accepting thread runs {@link #admit}, its I/O thread makes the connections' handlers and hears
- * of their end. {@link #sweep} is the gateway's timer's, {@link #closeIdle} its shutdown's. The connections are in a
- * concurrent map, so nothing here takes a lock.
+ * <p>Threads: a {@link ConnectionAcceptor} waits for room and hands connections over, HttpCore's I/O thread makes their
+ * handlers and hears of their end. {@link #sweep} is the gateway's timer's, {@link #closeIdle} its shutdown's. The
+ * connections are in a concurrent map, so nothing here takes a lock.
  */
 public final class HttpListener implements AutoCloseable {
 
@@ -49,8 +50,6 @@
     private static final int SELECT_MILLIS = 50;
     /** Between two looks whether a connection has made room for the next one. */
     private static final int ADMISSION_POLL_MILLIS = 1;
-    /** Index of the one I/O thread. */
-    private static final int IO_THREAD = 0;
 
     // ResponseConnControl is left out: it closes the connection after every 503.
     private final HttpProcessor processor = HttpProcessorBuilder.create()
@@ -58,7 +57,8 @@
             .addAll(new ResponseContent(), new ResponseDate())
             .build();
     private final Http1Config config;
-    private final HttpAsyncServer server;
+    private final AcceptedChannelReactor reactor;
+    private final Counters counters;
     /** By the id of their session. */
     private final Map<String, ClientConnection> connections = new ConcurrentHashMap<>();
     /** Accepted connections that their I/O thread has not yet taken up. */
@@ -68,7 +68,7 @@
     private final int maxConnections;
     private final Supplier<? extends ServerExchange> exchanges;
     /** Null until {@link #listen}. */
-    private ListenerEndpoint endpoint;
+    private ConnectionAcceptor acceptor;
 
     /**
      * Creates a listener and starts its threads; it accepts nothing before {@link #listen}.
@@ -76,50 +76,71 @@
      * @param maxConnections client connections held at once
      * @param exchanges makes the exchange of each request
      */
-    public HttpListener(int maxConnections, Limits limits, Supplier<? extends ServerExchange> exchanges) {
+    public HttpListener(
+            int maxConnections, Limits limits, Counters counters, Supplier<? extends ServerExchange> exchanges) {
         this.maxConnections = maxConnections;
         this.limits = limits;
+        this.counters = counters;
         this.exchanges = exchanges;
         config = MessageHeadParser.config(limits);
-        server = new HttpAsyncServer(
+        reactor = new AcceptedChannelReactor(
                 this::createHandler,
                 reactorConfig(),
-                null,
                 e -> LOG.warn("event=listener_error reason={}", e.toString()),
                 new SessionEndListener(),
-                null,
-                this::admit,
-                "localhost");
-        server.start();
+                ShutdownCommand.GRACEFUL_NORMAL_CALLBACK,
+                task -> daemon(task, "client-io"));
+        reactor.start();
+    }
+
+    private static Thread daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
     }
 
     private static IOReactorConfig reactorConfig() {
         return IOReactorConfig.custom()
                 .setIoThreadCount(IO_THREADS)
                 .setTcpNoDelay(true)
-                .setSoReuseAddress(true)
-                .setBacklogSize(LISTEN_QUEUE)
                 .setSoTimeout(Timeout.DISABLED)
                 .setSelectInterval(TimeValue.ofMilliseconds(SELECT_MILLIS))
                 .build();
     }
 
     /**
-     * Runs on the accepting thread before a connection is handed to its I/O thread. While there are too many, the one
-     * that has been without a request longest is closed, and the next ones wait in the listen queue: HttpCore's
-     * listener would accept them all, and ends for good when the descriptors run out.
+     * While there are too many connections, the one that has been without a request longest is closed, and the next
+     * ones wait in the listen queue.
      */
-    private int admit(IOWorkerStats[] workers) {
+    private void awaitRoom() throws InterruptedException {
+        while (connections.size() + handedOver.get() >= maxConnections) {
+            evictIdle();
+            Thread.sleep(ADMISSION_POLL_MILLIS);
+        }
+    }
+
+    private void accepted(SocketChannel channel) {
         handedOver.incrementAndGet();
         try {
-            while (connections.size() + handedOver.get() > maxConnections) {
-                evictIdle();
-                Thread.sleep(ADMISSION_POLL_MILLIS);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            reactor.add(channel);
+        } catch (IOReactorShutdownException e) {
+            handedOver.decrementAndGet();
+            Closer.closeQuietly(channel);
+        }
+    }
+
+    /** What the accepting thread hands to this listener. */
+    private final class Intake implements ConnectionAcceptor.Listener {
+
+        @Override
+        public void awaitRoom() throws InterruptedException {
+            HttpListener.this.awaitRoom();
+        }
+
+        @Override
+        public void accepted(SocketChannel channel) {
+            HttpListener.this.accepted(channel);
         }
-        return IO_THREAD;
     }
 
     private void evictIdle() {
@@ -142,13 +163,13 @@
      * @return the port, which the system chooses where 0 was asked for
      * @throws IOException where the address cannot be listened on
      */
-    public int listen(InetSocketAddress address) throws IOException, InterruptedException {
+    public int listen(InetSocketAddress address) throws IOException {
         try {
-            endpoint = server.listen(address, URIScheme.HTTP).get();
-            return ((InetSocketAddress) endpoint.getAddress()).getPort();
-        } catch (ExecutionException e) {
-            throw new IOException(
-                    "cannot listen on " + address + ": " + e.getCause().getMessage(), e);
+            acceptor = new ConnectionAcceptor(address, LISTEN_QUEUE, counters, new Intake());
+            daemon(acceptor, "client-accept").start();
+            return acceptor.port();
+        } catch (IOException e) {
+            throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
         }
     }
 
@@ -158,8 +179,8 @@
     }
 
     /** Stops accepting connections. */
-    public void stopListening() throws IOException {
-        endpoint.close();
+    public void stopListening() throws InterruptedException {
+        acceptor.stop();
     }
 
     /**
@@ -174,7 +195,7 @@
     /** Closes all connections at once. */
     @Override
     public void close() {
-        server.close(CloseMode.IMMEDIATE);
+        reactor.close(CloseMode.IMMEDIATE);
     }
 
     /** Forgets connections that have ended; runs on the I/O thread. */
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.Executor;
 import java.util.function.IntConsumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -157,6 +158,27 @@
         assertTrue(dispatcher.submit(request, client));
     }
 
+    /** A thread that the system does not let the process have, and a fault on the thread that it has. */
+    @ParameterizedTest
+    @CsvSource({"true, reject", "false, fail"})
+    void answersARequestThatAnErrorStops(boolean onSubmit, String answer) {
+        whileDeciding = () -> {
+            throw new OutOfMemoryError("made by a test");
+        };
+        Executor executor = onSubmit ? task -> whileDeciding.run() : Runnable::run;
+        dispatcher = new Dispatcher(
+                router,
+                new SendGuard(engines, RULES, instruments, 0),
+                transport,
+                executor,
+                instruments,
+                new Dispatcher.Settings(10, 0.04));
+        Request request = RequestBuilder.request("id").deadline(clock.now() + 5).build();
+        assertTrue(dispatcher.submit(request, client));
+        assertEquals(0, dispatcher.activeRequests());
+        assertTrue(answers.contains(answer), answers.toString());
+    }
+
     /** The policy rejects after these attempts; the client's answer goes by what they prove. */
     @ParameterizedTest
     @CsvSource({
