Decisions and releases stay owed, state files survive failing disks, crowds make room faster

Change: a request whose decision is 0.2 s overdue fails and is counted; a release that reached no engine is repeated, four rounds in all; the state of the chat front is written with a checksum, in full whatever one write moves, tried again for two seconds, and a damaged one or one that is no file is refused; where an address is crowded connections without a request are closed several at once, those first that were never answered.

--- a/src/main/java/dunlinladder/core/Counter.java
+++ b/src/main/java/dunlinladder/core/Counter.java
@@ -42,8 +42,12 @@
     REJECTIONS_REFUSED,
     /** Violations of an invariant: a KV cache was held too long; see {@link CacheHoldLedger}. */
     INVARIANT_CACHE_HELD,
+    /** Client connections that were closed without a request, to make room. */
+    CONNECTIONS_EVICTED,
     /** Failures of accept. */
     ACCEPT_FAILURES,
+    /** Violations of an invariant: the policy made no decision for a request by its deadline. */
+    INVARIANT_DECISION_OVERDUE,
     /** Steps of the machine's wall clock. */
     WALL_CLOCK_STEPS;
 
--- a/src/main/java/dunlinladder/lifecycle/AppliedState.java
+++ b/src/main/java/dunlinladder/lifecycle/AppliedState.java
@@ -1,5 +1,6 @@
 package dunlinladder.lifecycle;
 
+import dunlinladder.transport.http.TransientFailures;
 import dunlinladder.transport.json.InvalidInputException;
 import dunlinladder.transport.json.JsonObject;
 import java.io.IOException;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.zip.CRC32C;
 
 /**
  * A state of the chat configuration as files hold it: the applied state, and a saved plan, which names the state that
@@ -24,6 +26,7 @@
 record AppliedState(long serial, FlatSettings settings) {
 
     private static final String SERIAL_FIELD = "serial";
+    private static final String CHECKSUM_FIELD = "checksum";
     /** Of a saved plan: the serial of the state that it was made for. */
     private static final String BASE_FIELD = "base";
 
@@ -50,7 +53,11 @@
             JsonObject settings = json.child(SETTINGS_FIELD);
             SortedMap<String, String> values = new TreeMap<>();
             settings.fields().keySet().forEach(key -> values.put(key, settings.text(key)));
-            return new AppliedState(json.integer(serialField), FlatSettings.of(values));
+            AppliedState state = new AppliedState(json.integer(serialField), FlatSettings.of(values));
+            if (json.has(CHECKSUM_FIELD) && json.integer(CHECKSUM_FIELD) != state.checksum()) {
+                throw new InvalidInputException("does not match its checksum");
+            }
+            return state;
         } catch (InvalidInputException e) {
             throw new InvalidInputException(file + ": " + e.getMessage());
         }
@@ -75,7 +82,27 @@
 
     /** Replaces the file in one step, so that a crash leaves the old one. */
     private void write(Path file, String serialField) throws IOException {
-        String text = JsonObject.write(Map.of(serialField, serial, SETTINGS_FIELD, settings.values())) + "\n";
+        String text = JsonObject.write(
+                        Map.of(serialField, serial, CHECKSUM_FIELD, checksum(), SETTINGS_FIELD, settings.values()))
+                + "\n";
+        // The folder may be full, or its disk fail, for a while only.
+        TransientFailures.retry("write-state", () -> {
+            replace(file, text);
+            return file;
+        });
+    }
+
+    /** Of the serial and all settings in the order of their names. */
+    private long checksum() {
+        CRC32C checksum = new CRC32C();
+        checksum.update(Long.toString(serial).getBytes(StandardCharsets.UTF_8));
+        settings.values().forEach((key, value) -> {
+            checksum.update(("\n" + key + "=" + value).getBytes(StandardCharsets.UTF_8));
+        });
+        return checksum.getValue();
+    }
+
+    private static void replace(Path file, String text) throws IOException {
         Path temporary = Files.createTempFile(
                 file.toAbsolutePath().getParent(), file.getFileName().toString(), ".part");
         try {
--- a/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
@@ -136,7 +136,7 @@
         return new BlockingRequestRouter(
                 config.routing(),
                 config.identity().seed(),
-                clock,
+                instruments,
                 engineClient::release,
                 lagMonitor::lag,
                 limits.maxSchedulingLagSeconds());
--- a/src/main/java/dunlinladder/routing/BlockingRequestRouter.java
+++ b/src/main/java/dunlinladder/routing/BlockingRequestRouter.java
@@ -1,7 +1,10 @@
 package dunlinladder.routing;
 
 import dunlinladder.core.Attempt;
+import dunlinladder.core.Counter;
+import dunlinladder.core.Counters;
 import dunlinladder.core.Engine;
+import dunlinladder.core.Instruments;
 import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Outcome;
 import dunlinladder.core.Request;
@@ -35,6 +38,8 @@
     private static final double NANOS_PER_SECOND = 1e9;
     /** Longest wait for a timer in one call of {@link #runTimers}; a new earlier timer cuts it short. */
     private static final long MAX_TIMER_WAIT_NANOS = 1_000_000_000L;
+    /** After its deadline a request's answer earns nothing, and half a second later it is lost. */
+    private static final double OVERDUE_SECONDS = 0.2;
     /** Seconds between two lines in the log that tell of queued requests. */
     private static final double LOG_INTERVAL_SECONDS = 1;
 
@@ -42,6 +47,7 @@
     private final Condition timerSet = lock.newCondition();
     private final Router router;
     private final MonotonicClock clock;
+    private final Counters counters;
     private final Consumer<String> cacheReleases;
     private final DoubleSupplier schedulingLag;
     private final RoutingSettings settings;
@@ -67,7 +73,7 @@
     public BlockingRequestRouter(
             RoutingSettings settings,
             long seed,
-            MonotonicClock clock,
+            Instruments instruments,
             Consumer<String> cacheReleases,
             DoubleSupplier schedulingLag,
             double maxSchedulingLag) {
@@ -75,7 +81,8 @@
         this.schedulingLag = schedulingLag;
         this.admissionQueue = new AdmissionQueue<>(maxSchedulingLag);
         this.router = new RoutingPolicy(settings, seed);
-        this.clock = clock;
+        this.clock = instruments.clock();
+        this.counters = instruments.counters();
         this.cacheReleases = cacheReleases;
     }
 
@@ -85,7 +92,7 @@
         try {
             PendingRequest known = pendingRequests.get(request.id());
             if (known != null) {
-                return awaitDecision(request.id(), known);
+                return awaitDecision(request, known);
             }
             PendingRequest pending = new PendingRequest(lock.newCondition());
             pendingRequests.put(request.id(), pending);
@@ -95,7 +102,7 @@
                 return instead.get();
             }
             handle(new RoutingEvent.RequestArrived(routingRequest(request)));
-            return awaitDecision(request.id(), pending);
+            return awaitDecision(request, pending);
         } finally {
             lock.unlock();
         }
@@ -127,8 +134,14 @@
         return pending.isAdmitted() ? Optional.empty() : Optional.of(new RoutingDecision.Reject(0));
     }
 
-    private RoutingDecision awaitDecision(String id, PendingRequest pending) throws InterruptedException {
-        RoutingDecision decision = pending.awaitDecision();
+    private RoutingDecision awaitDecision(Request request, PendingRequest pending) throws InterruptedException {
+        String id = request.id();
+        double left = request.deadline() + OVERDUE_SECONDS - clock.now();
+        Optional<RoutingDecision> awaited = pending.awaitDecision(nanos(Math.max(0, left)));
+        if (awaited.isEmpty()) {
+            return decideOverdue(id);
+        }
+        RoutingDecision decision = awaited.get();
         // Decided but never made: the policy would count it as in flight at that engine for good.
         pending.unusedForward()
                 .ifPresent(forward -> handle(new RoutingEvent.AttemptEnded(
@@ -146,6 +159,18 @@
         return decision;
     }
 
+    /**
+     * The policy owes a decision and has made none in time: whatever its fault, the client gets its one answer, and the
+     * policy lets go of the request.
+     */
+    private RoutingDecision decideOverdue(String id) {
+        LOG.error("event=invariant_violated invariant=decision_overdue request={}", id);
+        counters.increment(Counter.INVARIANT_DECISION_OVERDUE);
+        pendingRequests.remove(id);
+        handle(new RoutingEvent.ClientDisconnected(id));
+        return new RoutingDecision.Fail();
+    }
+
     private static RoutingEvent.Request routingRequest(Request request) {
         return new RoutingEvent.Request(
                 request.id(),
--- a/src/main/java/dunlinladder/routing/PendingRequest.java
+++ b/src/main/java/dunlinladder/routing/PendingRequest.java
@@ -37,12 +37,18 @@
         changed.signal();
     }
 
-    /** Waits for the next decision; {@link RoutingDecision.Discard} once the client has disconnected. */
-    RoutingDecision awaitDecision() throws InterruptedException {
-        while (decisions.isEmpty() && !disconnected) {
-            changed.await();
+    /**
+     * Waits for the next decision; {@link RoutingDecision.Discard} once the client has disconnected.
+     *
+     * @param nanos longest wait
+     * @return empty where there was none in that time
+     */
+    Optional<RoutingDecision> awaitDecision(long nanos) throws InterruptedException {
+        long left = nanos;
+        while (decisions.isEmpty() && !disconnected && left > 0) {
+            left = changed.awaitNanos(left);
         }
-        return disconnected ? new RoutingDecision.Discard() : decisions.poll();
+        return disconnected ? Optional.of(new RoutingDecision.Discard()) : Optional.ofNullable(decisions.poll());
     }
 
     /** Waits until it is admitted or its client has disconnected, at most so long. */
--- a/src/main/java/dunlinladder/transport/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineClient.java
@@ -17,6 +17,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,6 +27,11 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(EngineClient.class);
 
+    /** Times that all engines are asked to release a KV cache. */
+    private static final int MAX_RELEASE_ROUNDS = 4;
+    /** Between two of them. */
+    private static final long RELEASE_PAUSE_MILLIS = 100;
+
     private final EngineCallContext context;
     private final EngineRegistry engines;
     private final ScheduledExecutorService timer;
@@ -63,19 +69,34 @@
 
     @Override
     public void release(String id) {
+        openReleases.incrementAndGet();
+        counters.increment(Counter.RELEASES);
+        cacheHolds.releaseBegun(id);
+        release(id, 1);
+    }
+
+    private void release(String id, int round) {
         EngineConnectionPool connections = context.connections();
         List<Engine> listed = new ArrayList<>(engines.listed());
         Collections.shuffle(listed);
         List<Engine> order = ReleaseOrder.of(listed, connections.lastResponses());
-        openReleases.incrementAndGet();
-        counters.increment(Counter.RELEASES);
-        cacheHolds.releaseBegun(id);
-        LOG.info("event=release_begun request={} engines={}", id, order.size());
-        new ReleaseChain(connections, timer, context.limits(), id, order.iterator(), taken -> releaseEnded(id, taken))
+        LOG.info("event=release_begun request={} round={} engines={}", id, round, order.size());
+        new ReleaseChain(
+                        connections,
+                        timer,
+                        context.limits(),
+                        id,
+                        order.iterator(),
+                        taken -> releaseEnded(id, round, taken))
                 .start();
     }
 
-    private void releaseEnded(String id, boolean taken) {
+    /** What is held stays owed: where no engine could be reached, all are asked again after a while. */
+    private void releaseEnded(String id, int round, boolean taken) {
+        if (!taken && round < MAX_RELEASE_ROUNDS) {
+            timer.schedule(() -> release(id, round + 1), RELEASE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
         openReleases.decrementAndGet();
         if (taken) {
             cacheHolds.releaseTaken(id);
--- a/src/main/java/dunlinladder/transport/http/ClientConnection.java
+++ b/src/main/java/dunlinladder/transport/http/ClientConnection.java
@@ -80,6 +80,8 @@
     private volatile boolean answeredBefore;
     /** Whether it was closed with a part of a head here: the rest no longer counts. */
     private volatile boolean closedAmidHead;
+    /** Whether it was told to close, and has not done so yet. */
+    private volatile boolean closing;
     /** Whether it was told to end with the program; the shutdown's alone. */
     private boolean endRequested;
     /** Whether a second request was rejected, and all that follows is discarded; the I/O thread's alone. */
@@ -228,9 +230,14 @@
 
     // ---- Time and end ----
 
-    /** Seconds for which no request has been open; negative while one is. */
+    /** Whether it has had an answer: a client that has is likelier to come again than one that has said nothing yet. */
+    boolean hasBeenAnswered() {
+        return answeredBefore;
+    }
+
+    /** Seconds for which no request has been open; negative while one is, or while it is being closed. */
     double idleSeconds() {
-        return openExchange != null ? -1 : secondsWaited();
+        return openExchange != null || closing ? -1 : secondsWaited();
     }
 
     private double secondsWaited() {
@@ -271,6 +278,7 @@
      * unless the rest of it is read at this very moment: closed then, its request would be sent on and lost.
      */
     void close() {
+        closing = true;
         synchronized (this) {
             closedAmidHead = phase == Phase.HEAD_PARTIAL && openExchange == null;
         }
--- a/src/main/java/dunlinladder/transport/http/HttpListener.java
+++ b/src/main/java/dunlinladder/transport/http/HttpListener.java
@@ -1,5 +1,6 @@
 package dunlinladder.transport.http;
 
+import dunlinladder.core.Counter;
 import dunlinladder.core.Counters;
 import dunlinladder.core.Limits;
 import java.io.IOException;
@@ -51,6 +52,16 @@
     /** Between two looks whether a connection has made room for the next one. */
     private static final int ADMISSION_POLL_MILLIS = 1;
 
+    /** Full again within this time, the address is crowded. */
+    private static final long CROWDED_NANOS = 20_000_000;
+    /** Connections that are closed at once for lack of room. */
+    private static final int MAX_EVICTIONS = 32;
+    /** Clients that have never been answered go first, of each those that have been idle longest. */
+    private static final Comparator<ClientConnection> EVICTED_FIRST = Comparator.comparing(
+                    ClientConnection::hasBeenAnswered)
+            .thenComparing(
+                    Comparator.comparingDouble(ClientConnection::idleSeconds).reversed());
+
     // ResponseConnControl is left out: it closes the connection after every 503.
     private final HttpProcessor processor = HttpProcessorBuilder.create()
             .add(new RequestValidateHost())
@@ -64,6 +75,11 @@
     /** Accepted connections that their I/O thread has not yet taken up. */
     private final AtomicInteger handedOver = new AtomicInteger();
 
+    /** When there was no room last, by {@link System#nanoTime}; the accepting thread's alone, as is the next. */
+    private long lastFullAt = System.nanoTime() - CROWDED_NANOS;
+
+    private int evictions = 1;
+
     private final Limits limits;
     private final int maxConnections;
     private final Supplier<? extends ServerExchange> exchanges;
@@ -109,12 +125,16 @@
     }
 
     /**
-     * While there are too many connections, the one that has been without a request longest is closed, and the next
-     * ones wait in the listen queue.
+     * While there are too many connections, some that have no request are closed, and the next ones wait in the listen
+     * queue. Where they keep coming, more and more are closed at once: clients with requests wait behind those without.
      */
     private void awaitRoom() throws InterruptedException {
         while (connections.size() + handedOver.get() >= maxConnections) {
-            evictIdle();
+            long now = System.nanoTime();
+            boolean crowded = now - lastFullAt < CROWDED_NANOS;
+            evictions = crowded ? Math.min(2 * evictions, MAX_EVICTIONS) : 1;
+            lastFullAt = now;
+            evictIdle(evictions);
             Thread.sleep(ADMISSION_POLL_MILLIS);
         }
     }
@@ -143,11 +163,15 @@
         }
     }
 
-    private void evictIdle() {
+    private void evictIdle(int most) {
         connections.values().stream()
                 .filter(connection -> connection.idleSeconds() > limits.evictSeconds())
-                .max(Comparator.comparingDouble(ClientConnection::idleSeconds))
-                .ifPresent(ClientConnection::close);
+                .sorted(EVICTED_FIRST)
+                .limit(most)
+                .forEach(connection -> {
+                    counters.increment(Counter.CONNECTIONS_EVICTED);
+                    connection.close();
+                });
     }
 
     private IOEventHandler createHandler(ProtocolIOSession session, Object attachment) {
--- a/src/test/c/faults.c
+++ b/src/test/c/faults.c
@@ -37,6 +37,8 @@
     struct failing_call write_file;
     /* Most bytes that a read or a write of a socket moves; 0 for no bound. */
     _Atomic int32_t max_socket_bytes;
+    /* The same of a write to a regular file. */
+    _Atomic int32_t max_file_bytes;
 };
 
 static struct faults *faults;
@@ -125,14 +127,14 @@
 
 /* ---- Reads and writes ---- */
 
-static int is_socket(int descriptor) {
+static int is_of_type(int descriptor, mode_t type) {
     struct stat status;
-    return fstat(descriptor, &status) == 0 && S_ISSOCK(status.st_mode);
+    return fstat(descriptor, &status) == 0 && (status.st_mode & S_IFMT) == type;
 }
 
 static size_t bounded(int descriptor, size_t count) {
     size_t most = faults == NULL ? 0 : (size_t)atomic_load(&faults->max_socket_bytes);
-    return most > 0 && count > most && is_socket(descriptor) ? most : count;
+    return most > 0 && count > most && is_of_type(descriptor, S_IFSOCK) ? most : count;
 }
 
 ssize_t read(int descriptor, void *buffer, size_t count) {
@@ -142,11 +144,13 @@
 
 ssize_t write(int descriptor, const void *buffer, size_t count) {
     REAL(ssize_t, "write", int, const void *, size_t)
-    if (faults != NULL && atomic_load(&faults->write_file.remaining) > 0 && descriptor > STDERR_FILENO) {
-        struct stat status;
-        if (fstat(descriptor, &status) == 0 && S_ISREG(status.st_mode) && fails(&faults->write_file)) {
+    int32_t most = faults == NULL ? 0 : atomic_load(&faults->max_file_bytes);
+    int hindered = faults != NULL && (most > 0 || atomic_load(&faults->write_file.remaining) > 0);
+    if (hindered && descriptor > STDERR_FILENO && is_of_type(descriptor, S_IFREG)) {
+        if (fails(&faults->write_file)) {
             return -1;
         }
+        return real(descriptor, buffer, most > 0 && count > (size_t)most ? (size_t)most : count);
     }
     return real(descriptor, buffer, bounded(descriptor, count));
 }
--- /dev/null
+++ b/src/test/java/dunlinladder/it/AppliedStateFaultsTest.java
@@ -0,0 +1,109 @@
+package dunlinladder.it;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The folder of the applied state fails while {@code apply} writes to it. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class AppliedStateFaultsTest {
+
+    private static final String OPERATORS_FILE = """
+            listen = "127.0.0.1:8090"
+            keys.CHAT_KEY.tenant = "acme"
+            models.find.class = "lookup"
+            models.find.max_tokens = 300
+            """;
+    private static final int FOR_GOOD = 1_000_000;
+    private static final int NO_CHANGES = 0;
+
+    @TempDir
+    private Path folder;
+
+    private MachineFaults faults;
+    private Path state;
+    private Path file;
+
+    @BeforeEach
+    void write() throws Exception {
+        faults = new MachineFaults();
+        state = folder.resolve("applied.json");
+        file = Files.writeString(folder.resolve("chat.toml"), OPERATORS_FILE);
+    }
+
+    @AfterEach
+    void closeFaults() throws Exception {
+        faults.close();
+    }
+
+    /** Runs a command of the program on the machine with these faults; returns its exit status. */
+    private int run(String command) throws IOException, InterruptedException {
+        List<String> words = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:-UsePerfData",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "dunlinladder.lifecycle.Main",
+                command,
+                file.toString(),
+                "--state",
+                state.toString()));
+        ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
+        builder.environment().putAll(faults.environment());
+        Process process = builder.start();
+        process.getInputStream().transferTo(java.io.OutputStream.nullOutputStream());
+        return process.waitFor();
+    }
+
+    @Test
+    void writesAllOfTheStateWhenEachWriteMovesSevenBytes() throws Exception {
+        faults.boundFileBytes(7);
+        assertEquals(0, run("apply"));
+        assertEquals(NO_CHANGES, run("plan"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"WRITE_FILE, ENOSPC", "WRITE_FILE, EIO", "SYNC, EIO", "SYNC, ENOSPC"})
+    void appliesOnceTheFolderTakesWritesAgain(MachineFaults.Call call, MachineFaults.Errno errno) throws Exception {
+        faults.fail(call, errno, 5);
+        assertEquals(0, run("apply"));
+        assertEquals(0, faults.failuresLeft(call));
+        assertEquals(NO_CHANGES, run("plan"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"WRITE_FILE, ENOSPC", "SYNC, EIO"})
+    void leavesTheOldStateWhereTheFolderFailsForGood(MachineFaults.Call call, MachineFaults.Errno errno)
+            throws Exception {
+        assertEquals(0, run("apply"));
+        byte[] before = Files.readAllBytes(state);
+        Files.writeString(file, OPERATORS_FILE.replace("300", "400"));
+        faults.fail(call, errno, FOR_GOOD);
+        assertEquals(1, run("apply"));
+        assertArrayEquals(before, Files.readAllBytes(state));
+    }
+
+    @Test
+    void refusesAStateThatIsDamagedOrNoFile() throws Exception {
+        assertEquals(0, run("apply"));
+        String written = Files.readString(state);
+        assertTrue(written.contains("300"));
+        Files.writeString(state, written.replace("300", "301"));
+        assertEquals(1, run("plan"));
+        state = Path.of("/dev/full");
+        assertEquals(1, run("plan"));
+    }
+}
--- a/src/test/java/dunlinladder/it/MachineFaults.java
+++ b/src/test/java/dunlinladder/it/MachineFaults.java
@@ -20,6 +20,7 @@
     private static final int FILE_BYTES = 64;
     private static final int WALL_CLOCK_OFFSET = 0;
     private static final int MAX_SOCKET_BYTES = 48;
+    private static final int MAX_FILE_BYTES = 52;
 
     /** The calls that can be made to fail, with the place of each in the shared file. */
     enum Call {
@@ -98,6 +99,12 @@
         shared.force();
     }
 
+    /** Bounds the bytes that one write to a file moves; 0 for no bound. */
+    void boundFileBytes(int most) {
+        shared.putInt(MAX_FILE_BYTES, most);
+        shared.force();
+    }
+
     @Override
     public void close() throws IOException {
         Files.deleteIfExists(file);
--- a/src/test/java/dunlinladder/it/SoakFaults.java
+++ b/src/test/java/dunlinladder/it/SoakFaults.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +20,8 @@
     private static final int MAX_FAILURES = 6;
 
     private static final int MAX_SOCKET_BYTES = 40;
+    private static final int MIN_SET_BACK_SECONDS = 4000;
+    private static final int MAX_SET_BACK_SECONDS = 4000;
     private static final double[] CLOCK_STEPS = {-3600, -60, -7, -3, -0.5, 0.5, 3, 7, 60, 3600};
     private static final List<MachineFaults.Errno> ACCEPT_ERRORS = List.of(
             MachineFaults.Errno.ECONNABORTED,
@@ -33,9 +36,11 @@
     enum Kind {
         ENGINE_MODE,
         ENGINE_STOPPED,
+        ENGINES_CUT_OFF,
         ENGINE_REPLACED,
         ENGINE_DRAINED,
         CLOCK_STEPPED,
+        CLOCK_SET_BACK,
         ACCEPT_FAILS,
         CONNECT_FAILS,
         SOCKET_FAILS,
@@ -61,10 +66,12 @@
         record.faults.add(kind + " " + seconds);
         switch (kind) {
             case ENGINE_MODE -> engineMode(seconds);
-            case ENGINE_STOPPED -> stopEngine(seconds);
+            case ENGINE_STOPPED -> stopEngine(fleet.anyEngine(random), seconds);
+            case ENGINES_CUT_OFF -> cutOffEngines(seconds);
             case ENGINE_REPLACED -> replaceEngine(seconds);
             case ENGINE_DRAINED -> drainEngine(seconds);
             case CLOCK_STEPPED -> stepClock();
+            case CLOCK_SET_BACK -> setBackClocks();
             case ACCEPT_FAILS -> fail(MachineFaults.Call.ACCEPT, pick(ACCEPT_ERRORS));
             case CONNECT_FAILS -> fail(MachineFaults.Call.CONNECT, pick(CONNECT_ERRORS));
             case SOCKET_FAILS -> fail(MachineFaults.Call.SOCKET, MachineFaults.Errno.EMFILE);
@@ -95,8 +102,36 @@
         engine.process.tell(SoakEngine.Mode.SOUND.name());
     }
 
-    private void stopEngine(double seconds) {
-        SoakFleet.Engine engine = fleet.anyEngine(random);
+    /**
+     * Half of the engines at once, and the clocks of all gateways set back: connections hang, and so would time-outs.
+     */
+    private void cutOffEngines(double seconds) {
+        setBackClocks();
+        List<Thread> stopping = new ArrayList<>();
+        for (SoakFleet.Engine engine : fleet.engines) {
+            if (random.nextBoolean()) {
+                Thread thread = new Thread(() -> stopEngine(engine, seconds));
+                thread.start();
+                stopping.add(thread);
+            }
+        }
+        for (Thread thread : stopping) {
+            try {
+                thread.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private void setBackClocks() {
+        double offset = -MIN_SET_BACK_SECONDS - random.nextInt(MAX_SET_BACK_SECONDS);
+        fleet.gateways.forEach(
+                gateway -> gateway.faults.setWallClockOffset(Duration.ofNanos((long) (offset * NANOS_PER_SECOND))));
+    }
+
+    private void stopEngine(SoakFleet.Engine engine, double seconds) {
         if (!engine.claim()) {
             return;
         }
--- a/src/test/java/dunlinladder/routing/BlockingRequestRouterTest.java
+++ b/src/test/java/dunlinladder/routing/BlockingRequestRouterTest.java
@@ -4,7 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
+import dunlinladder.core.CacheHoldLedger;
+import dunlinladder.core.Counter;
+import dunlinladder.core.Counters;
 import dunlinladder.core.Engine;
+import dunlinladder.core.Instruments;
 import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Request;
 import dunlinladder.core.RequestBuilder;
@@ -24,10 +28,12 @@
 
     private volatile double lag = 1;
     private final MonotonicClock clock = new MonotonicClock();
+    private final Counters counters = new Counters();
+    private final Instruments instruments = new Instruments(clock, counters, new CacheHoldLedger(0.5, counters));
     private final List<String> released = new ArrayList<>();
     /** With an aim of 100 s, half of which a request waits: a stalled machine does not decide a test. */
     private final BlockingRequestRouter decisions = new BlockingRequestRouter(
-            FleetRulesTest.settings(2, 100, 0.25, 2.5, 2, 12, 0.3, 0.5), 1, clock, released::add, () -> lag, 0.1);
+            FleetRulesTest.settings(2, 100, 0.25, 2.5, 2, 12, 0.3, 0.5), 1, instruments, released::add, () -> lag, 0.1);
 
     @BeforeEach
     void aReaderAndAWriter() {
@@ -78,6 +84,15 @@
                 "its place in the row is free again");
     }
 
+    /** Nobody runs the policy's timers here: the client gets its answer all the same, and the violation is counted. */
+    @Test
+    void isFailedWhenThePolicyOwesItsDecisionBeyondTheDeadline() throws Exception {
+        lag = 0;
+        decisions.endpointsUpdated(RequestRouter.Scope.COMPLETE, List.of(engine("w0", 1)));
+        assertInstanceOf(RoutingDecision.Fail.class, decisions.nextDecision(request(0.3)));
+        assertEquals(1, counters.count(Counter.INVARIANT_DECISION_OVERDUE));
+    }
+
     /** It was not sent to any engine, so trying again is harmless. */
     @Test
     void isRefusedWhileItsClientStillListens() throws Exception {
--- a/src/test/java/dunlinladder/transport/engine/ReleaseChainTest.java
+++ b/src/test/java/dunlinladder/transport/engine/ReleaseChainTest.java
@@ -4,6 +4,7 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
+import dunlinladder.core.Counter;
 import dunlinladder.core.Engine;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -62,6 +63,28 @@
         }
     }
 
+    /** No engine can be reached for a moment, by a fault of the machine here: what is held stays owed. */
+    @Test
+    void releaseIsRepeatedWhereNoEngineCouldBeReached() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket unused = EngineConnectionFixture.silentServer()) {
+            address = (InetSocketAddress) unused.getLocalSocketAddress();
+        }
+        String late = "127.0.0.1:" + address.getPort();
+        try (EngineConnectionFixture connections = new EngineConnectionFixture(0.25)) {
+            EngineClient client = connections.client(List.of(EngineConnectionFixture.engine("late", late, 0)));
+            client.release("held");
+            while (connections.counters.count(Counter.CONNECTS_FAILED) == 0) {
+                Thread.onSpinWait();
+            }
+            alive.stop(0);
+            alive = HttpServer.create(address, 5);
+            alive.createContext("/", this::record);
+            alive.start();
+            assertEquals(EXPECTED_REQUEST, received.join());
+        }
+    }
+
     /**
      * All engines that answered of late are behind a cut, and their zone is asked in turn with another one. A gateway
      * that ends waits until the release has arrived.
