Time in the listen queue counts against the deadline; the watch survives a missing thread

ConnectionAcceptor bounds it: since the queue was last found empty, and behind at most as many as it holds; the first request of a connection is charged that where it was whole with the accept. SystemCallFaultsTest.servesAndWatchesAgainAfterThreadsCouldNotBeMade timed out after 30 s without the mend (12 threads fail), and passes with it.

--- a/src/main/java/dunlinladder/transport/chat/ChatExchange.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatExchange.java
@@ -84,7 +84,7 @@
 
     @Override
     protected void requestReceived(HttpRequest head, byte[] content) {
-        double now = shared.clock.now();
+        double now = shared.clock.now() - maxSecondsSinceSend();
         try {
             String path = path(head);
             boolean listing = ModelListing.serves(path);
--- a/src/main/java/dunlinladder/transport/discovery/EndpointWatcher.java
+++ b/src/main/java/dunlinladder/transport/discovery/EndpointWatcher.java
@@ -8,6 +8,8 @@
 import dunlinladder.membership.WatchStateMachine;
 import dunlinladder.membership.WatchTimeouts;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
@@ -113,9 +115,12 @@
     private synchronized void handle(WatchEvent event) {
         WatchOutcome outcome = state.on(event, clock.now());
         state = outcome.state();
+        List<Integer> notOpened = new ArrayList<>();
         for (WatchCommand command : outcome.commands()) {
             if (command instanceof WatchCommand.Open open) {
-                open(open);
+                if (!open(open)) {
+                    notOpened.add(open.connection());
+                }
             } else if (command instanceof WatchCommand.Close close) {
                 cancel(close.connection());
             } else if (command instanceof WatchCommand.Apply apply && !applied(apply.update())) {
@@ -125,14 +130,24 @@
             }
         }
         notifyAll();
+        notOpened.forEach(connection -> handle(new WatchEvent.Closed(connection)));
     }
 
-    private void open(WatchCommand.Open command) {
+    /** False where there is no thread for it. */
+    private boolean open(WatchCommand.Open command) {
         WatchCall call = new WatchCall(command, reader, timeouts.connect().giveUpSeconds(), new CallListener());
         calls.put(call.id(), call);
         Thread thread = new Thread(call, "discovery-" + call.id());
         thread.setDaemon(true);
-        thread.start();
+        try {
+            thread.start();
+        } catch (OutOfMemoryError e) {
+            // The system lets the process have no further thread: the list must not stand still for good.
+            LOG.warn("event=discovery_call_failed address={} reason={}", command.address(), e.toString());
+            calls.remove(call.id());
+            return false;
+        }
+        return true;
     }
 
     private void cancel(int connection) {
--- a/src/main/java/dunlinladder/transport/http/ClientConnection.java
+++ b/src/main/java/dunlinladder/transport/http/ClientConnection.java
@@ -67,6 +67,7 @@
     }
 
     private final ProtocolIOSession session;
+    private final ConnectionArrival arrival;
     private final Limits limits;
     private final Supplier<? extends ServerExchange> exchanges;
     private final MessageHeadParser<HttpRequest> parser;
@@ -91,10 +92,12 @@
 
     ClientConnection(
             ProtocolIOSession session,
+            ConnectionArrival arrival,
             Limits limits,
             Http1Config config,
             Supplier<? extends ServerExchange> exchanges) {
         this.session = session;
+        this.arrival = arrival;
         this.limits = limits;
         this.exchanges = exchanges;
         this.parser =
@@ -210,6 +213,9 @@
         openExchange = exchange;
         phase = Phase.EXCHANGE_OPEN;
         exchange.onOver(this::exchangeOver);
+        if (!answeredBefore) {
+            exchange.cameWith(arrival);
+        }
         return exchange;
     }
 
--- a/src/main/java/dunlinladder/transport/http/ConnectionAcceptor.java
+++ b/src/main/java/dunlinladder/transport/http/ConnectionAcceptor.java
@@ -42,13 +42,14 @@
         void awaitRoom() throws InterruptedException;
 
         /** A connection was accepted. */
-        void accepted(SocketChannel channel);
+        void accepted(SocketChannel channel, ConnectionArrival arrival);
     }
 
     private final ServerSocketChannel server;
     private final Selector selector;
     private final Counters counters;
     private final Listener listener;
+    private final ListenQueueClock queueClock;
     private final CountDownLatch ended = new CountDownLatch(1);
     private volatile boolean stopped;
     /** Of accept, in a row; the thread's alone. */
@@ -63,6 +64,7 @@
     ConnectionAcceptor(InetSocketAddress address, int queue, Counters counters, Listener listener) throws IOException {
         this.counters = counters;
         this.listener = listener;
+        queueClock = new ListenQueueClock(queue, System.nanoTime());
         selector = TransientFailures.retry("open-selector", Selector::open);
         server = TransientFailures.retry("open-listener", ServerSocketChannel::open);
         server.socket().setReuseAddress(true);
@@ -92,7 +94,10 @@
 
     private void acceptNext() throws InterruptedException {
         try {
-            selector.select();
+            if (selector.selectNow() == 0) {
+                queueClock.foundEmpty(System.nanoTime());
+                selector.select();
+            }
             selector.selectedKeys().clear();
             if (stopped) {
                 return;
@@ -102,7 +107,8 @@
             SocketChannel channel = stopped ? null : server.accept();
             if (channel != null) {
                 failures = 0;
-                listener.accepted(channel);
+                long now = System.nanoTime();
+                listener.accepted(channel, new ConnectionArrival(now, queueClock.accepted(now)));
             }
         } catch (IOException | RuntimeException e) {
             // Of any kind: a gateway that lives and accepts nothing would lose its clients in silence.
--- a/src/main/java/dunlinladder/transport/http/HttpListener.java
+++ b/src/main/java/dunlinladder/transport/http/HttpListener.java
@@ -139,10 +139,10 @@
         }
     }
 
-    private void accepted(SocketChannel channel) {
+    private void accepted(SocketChannel channel, ConnectionArrival arrival) {
         handedOver.incrementAndGet();
         try {
-            reactor.add(channel);
+            reactor.add(channel, arrival);
         } catch (IOReactorShutdownException e) {
             handedOver.decrementAndGet();
             Closer.closeQuietly(channel);
@@ -158,8 +158,8 @@
         }
 
         @Override
-        public void accepted(SocketChannel channel) {
-            HttpListener.this.accepted(channel);
+        public void accepted(SocketChannel channel, ConnectionArrival arrival) {
+            HttpListener.this.accepted(channel, arrival);
         }
     }
 
@@ -175,7 +175,8 @@
     }
 
     private IOEventHandler createHandler(ProtocolIOSession session, Object attachment) {
-        ClientConnection connection = new ClientConnection(session, limits, config, exchanges);
+        ClientConnection connection =
+                new ClientConnection(session, (ConnectionArrival) attachment, limits, config, exchanges);
         connections.put(session.getId(), connection);
         handedOver.decrementAndGet();
         return connection.handler(processor, config);
--- a/src/main/java/dunlinladder/transport/http/ServerExchange.java
+++ b/src/main/java/dunlinladder/transport/http/ServerExchange.java
@@ -52,6 +52,9 @@
     private ResponseChannel response;
     private HttpContext context;
     private Runnable onOver = () -> {};
+    /** Null but for the first request of a connection. */
+    private ConnectionArrival arrival;
+
     /** The id of the request that the core has taken, null while it has none. */
     private volatile String requestId;
 
@@ -85,6 +88,11 @@
         onOver = task;
     }
 
+    /** This is the first request of a connection that came so. */
+    final void cameWith(ConnectionArrival connectionArrival) {
+        arrival = connectionArrival;
+    }
+
     /** Gives up a request that is not here in full; false where it is, and then it has been taken. */
     final boolean expire() {
         return body.expire();
@@ -126,6 +134,11 @@
         return fresh;
     }
 
+    /** Longest time in seconds since the request, which has just become whole, was sent. */
+    protected final double maxSecondsSinceSend() {
+        return arrival == null ? 0 : arrival.maxSecondsSinceSend(System.nanoTime());
+    }
+
     /** The value of a header, null when it is absent. */
     protected static String header(HttpRequest head, String name) {
         Header header = head.getFirstHeader(name);
--- a/src/main/java/dunlinladder/transport/platform/PlatformExchange.java
+++ b/src/main/java/dunlinladder/transport/platform/PlatformExchange.java
@@ -59,7 +59,8 @@
 
     @Override
     protected void requestReceived(HttpRequest head, byte[] content) {
-        double now = shared.clock.now();
+        // The client's time counts from its send.
+        double now = shared.clock.now() - maxSecondsSinceSend();
         String path = path(head);
         boolean healthCheck = path.equals(HEALTH_PATH);
         String allowed = healthCheck ? GET : POST;
--- a/src/main/java/org/apache/hc/core5/reactor/AcceptedChannelReactor.java
+++ b/src/main/java/org/apache/hc/core5/reactor/AcceptedChannelReactor.java
@@ -45,10 +45,11 @@
     /**
      * Hands a channel over.
      *
+     * @param attachment handed to the maker of its handler
      * @throws IOReactorShutdownException where the reactor has ended
      */
-    public void add(SocketChannel channel) {
-        reactor.enqueueChannel(new ChannelEntry(channel, null));
+    public void add(SocketChannel channel, Object attachment) {
+        reactor.enqueueChannel(new ChannelEntry(channel, attachment));
     }
 
     /** Ends the I/O thread and closes its connections. */
--- a/src/test/c/faults.c
+++ b/src/test/c/faults.c
@@ -7,6 +7,7 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdint.h>
 #include <stdlib.h>
@@ -39,6 +40,8 @@
     _Atomic int32_t max_socket_bytes;
     /* The same of a write to a regular file. */
     _Atomic int32_t max_file_bytes;
+    /* Creating a thread. */
+    struct failing_call thread;
 };
 
 static struct faults *faults;
@@ -125,6 +128,13 @@
     return faults != NULL && fails(&faults->connect) ? -1 : real(descriptor, address, length);
 }
 
+/* ---- Threads ---- */
+
+int pthread_create(pthread_t *thread, const pthread_attr_t *attributes, void *(*start)(void *), void *argument) {
+    REAL(int, "pthread_create", pthread_t *, const pthread_attr_t *, void *(*)(void *), void *)
+    return faults != NULL && fails(&faults->thread) ? errno : real(thread, attributes, start, argument);
+}
+
 /* ---- Reads and writes ---- */
 
 static int is_of_type(int descriptor, mode_t type) {
--- a/src/test/java/dunlinladder/it/MachineFaults.java
+++ b/src/test/java/dunlinladder/it/MachineFaults.java
@@ -28,7 +28,9 @@
         SOCKET(16),
         CONNECT(24),
         SYNC(32),
-        WRITE_FILE(40);
+        WRITE_FILE(40),
+        /** Creating a thread. */
+        THREAD(56);
 
         private final int offset;
 
@@ -40,6 +42,7 @@
     /** What a call fails with, by its number on Linux. */
     enum Errno {
         EIO(5),
+        EAGAIN(11),
         ENOMEM(12),
         ENFILE(23),
         EMFILE(24),
--- a/src/test/java/dunlinladder/it/SystemCallFaultsTest.java
+++ b/src/test/java/dunlinladder/it/SystemCallFaultsTest.java
@@ -16,6 +16,9 @@
 class SystemCallFaultsTest {
 
     private static final int FAILURES = 5;
+    /** Enough that a thread fails to be made where the time-keeping thread asks for it. */
+    private static final int MANY_FAILURES = 12;
+
     private static final int CLIENTS = 20;
 
     private MachineFaults faults;
@@ -79,6 +82,17 @@
         }
     }
 
+    /** Neither a request nor the watch of the engine list may hang on a thread that cannot be made for a moment. */
+    @Test
+    void servesAndWatchesAgainAfterThreadsCouldNotBeMade() throws Exception {
+        Await.until(() -> gateway.discovery.receivedRequests.size() == 1);
+        faults.fail(MachineFaults.Call.THREAD, MachineFaults.Errno.EAGAIN, MANY_FAILURES);
+        gateway.discovery.closeConnections();
+        Await.until(() ->
+                faults.failuresLeft(MachineFaults.Call.THREAD) == 0 && gateway.discovery.receivedRequests.size() > 1);
+        assertEquals(200, PlatformGatewayFixture.lookupStatus(gateway));
+    }
+
     @Test
     void servesWhenReadsAndWritesMoveThreeBytesAtATime() throws Exception {
         faults.boundSocketBytes(3);
--- a/src/test/java/dunlinladder/transport/http/ClientConnectionTest.java
+++ b/src/test/java/dunlinladder/transport/http/ClientConnectionTest.java
@@ -28,9 +28,10 @@
                 sessionCalls.add(method.getName());
                 return null;
             });
-    private final ClientConnection connection = new ClientConnection(session, LIMITS, Http1Config.DEFAULT, () -> {
-        throw new IllegalStateException("no exchange is opened here");
-    });
+    private final ClientConnection connection =
+            new ClientConnection(session, new ConnectionArrival(0, 0), LIMITS, Http1Config.DEFAULT, () -> {
+                throw new IllegalStateException("no exchange is opened here");
+            });
 
     /** The rest comes behind the close: it must not be taken, as its answer would find no connection. */
     @Test
