Ages of engines from news: the lower of two estimates in place of the arrival

Change: news lies at most 6 s behind its start, by the lower of the wall clock and of the news that travelled fastest. Run: EngineStartTimesTest with six pairs of wrong clocks.

--- a/src/main/java/dunlinladder/core/EngineStartTimes.java
+++ b/src/main/java/dunlinladder/core/EngineStartTimes.java
@@ -11,7 +11,9 @@
  * bear.
  *
  * <ul>
- *   <li>A start that is news to a process that has followed the list counts from when the news came.
+ *   <li>A start that is news to a process that has followed the list lies at most some seconds before the news. How
+ *       many is estimated twice, by the wall clock and by the news that travelled fastest so far, and the lower one
+ *       counts: one wrong clock, here or at an engine, makes no engine older than it is.
  *   <li>Starts from before that, in the first lists, go by the wall clock where it makes sense. A start in its future
  *       shows that it is wrong: the latest start of all stands for the present then.
  *   <li>A wall clock that is ahead cannot be told from engines that are old. Where few engines started last, they count
@@ -28,6 +30,8 @@
     private static final double EARLIEST = 1;
     /** By which wall clocks of a fleet may differ without one of them being wrong. */
     private static final double CLOCK_SKEW_SECONDS = 1;
+    /** Longest way of news that is believed. */
+    private static final double MAX_NEWS_SECONDS = 6;
     /** One part in this many of the engines is few. */
     private static final int LISTED_PER_FEW = 4;
     /** Engines of which the start is remembered, those that have left included. */
@@ -44,6 +48,8 @@
             return size() > MAX_KNOWN;
         }
     };
+    /** Greatest difference of a stated start to the clock at its news: that news was the shortest time under way. */
+    private double fastestNews = Double.NEGATIVE_INFINITY;
     /** Whether discovery has answered, so that what it says from now on is news. */
     private boolean following;
 
@@ -80,11 +86,19 @@
         if (before != null && before.stated == engine.startedAt()) {
             return before.at;
         }
-        double at = present == null ? now : Math.max(EARLIEST, now - present.age(engine.startedAt()));
+        double age = present == null ? ageOfNews(engine.startedAt(), now) : present.age(engine.startedAt());
+        double at = Math.max(EARLIEST, now - age);
         known.put(engine.id(), new Start(engine.startedAt(), at));
         return at;
     }
 
+    private double ageOfNews(double startedAt, double now) {
+        fastestNews = Math.max(fastestNews, startedAt - now);
+        double byFastestNews = now + fastestNews - startedAt;
+        double byWallClock = wallClock.now() - startedAt;
+        return Math.max(0, Math.min(MAX_NEWS_SECONDS, Math.min(byFastestNews, byWallClock)));
+    }
+
     /**
      * What the first lists are read by.
      *
--- a/src/test/java/dunlinladder/core/EngineStartTimesTest.java
+++ b/src/test/java/dunlinladder/core/EngineStartTimesTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** An engine is never taken for older than it is because a wall clock is wrong. */
@@ -61,6 +62,16 @@
         assertEquals(startedAt, times.onClock(restarted, false).get(0).startedAt());
     }
 
+    /** News of two starts comes at once: the earlier one was under way for 4 s longer. */
+    @ParameterizedTest
+    @CsvSource({"0, 0, 4", "3600, 0, 4", "-3600, 0, 0", "0, 3600, 5", "-2, 0, 3", "2, 0, 4"})
+    void newsThatWasLongUnderWayIsOlderWhereNoClockSaysOtherwise(double error, double errorOfEngine, double age) {
+        times.onClock(fleetWithOneStarted(100), false);
+        wallError = error;
+        times.onClock(List.of(engine("old-1", UNIX_NOW - 1 + errorOfEngine)), false);
+        assertEquals(age, ageOf("old-2", times.onClock(List.of(engine("old-2", UNIX_NOW - 5)), false)), 0.5);
+    }
+
     @Test
     void fleetThatStartedTogetherIsAsOldAsTheWallClockSays() {
         List<Engine> fleet = List.of(engine("a", UNIX_NOW - 300), engine("b", UNIX_NOW - 301));
