A connection behind a quiet time is not charged for it

Cause: ListenQueueClock noted the queue as empty before the accepting thread waited, so that the first request of a connection was charged the whole quiet time before it, and rejected where that was longer than its deadline. Change: noted behind the wait.

--- a/src/main/java/dunlinladder/transport/http/ConnectionAcceptor.java
+++ b/src/main/java/dunlinladder/transport/http/ConnectionAcceptor.java
@@ -95,8 +95,9 @@
     private void acceptNext() throws InterruptedException {
         try {
             if (selector.selectNow() == 0) {
-                queueClock.foundEmpty(System.nanoTime());
                 selector.select();
+                // It was empty all the while: what has come now has just come.
+                queueClock.foundEmpty(System.nanoTime());
             }
             selector.selectedKeys().clear();
             if (stopped) {
