--- a/src/main/java/dunlinladder/transport/engine/SchedulingLagMonitor.java
+++ b/src/main/java/dunlinladder/transport/engine/SchedulingLagMonitor.java
@@ -8,6 +8,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import org.apache.hc.core5.io.Closer;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
@@ -38,6 +39,9 @@
     /** The end that sends; null while there is no connection. */
     private volatile SocketChannel sender;
 
+    /** The end that receives, of the connection that was made last; the I/O thread's alone. */
+    private IOSession receiver;
+
     private volatile boolean closed;
     /** Used by the timer only. */
     private final ByteBuffer probe = ByteBuffer.allocate(PROBE_BYTES);
@@ -109,6 +113,7 @@
 
     @Override
     public void connected(IOSession session) {
+        receiver = session;
         session.setEvent(SelectionKey.OP_READ);
     }
 
@@ -141,13 +146,21 @@
 
     @Override
     public void disconnected(IOSession session) {
-        reset();
-        if (!closed) {
-            sender = null;
-            Thread thread = new Thread(this::reconnect, "lag-monitor");
-            thread.setDaemon(true);
-            thread.start();
+        SocketChannel lost = sender;
+        if (session != receiver || lost == null || closed) {
+            // An earlier try to connect, or one that is under way and is repeated by its own thread.
+            return;
         }
+        sender = null;
+        reset();
+        Closer.closeQuietly(lost);
+        startReconnecting();
+    }
+
+    private void startReconnecting() {
+        Thread thread = new Thread(this::reconnect, "lag-monitor");
+        thread.setDaemon(true);
+        thread.start();
     }
 
     /** Not on the I/O thread, which would wait for itself. */
--- a/src/main/java/dunlinladder/transport/http/HttpListener.java
+++ b/src/main/java/dunlinladder/transport/http/HttpListener.java
@@ -57,10 +57,16 @@
     /** Connections that are closed at once for lack of room. */
     private static final int MAX_EVICTIONS = 32;
     /** Clients that have never been answered go first, of each those that have been idle longest. */
-    private static final Comparator<ClientConnection> EVICTED_FIRST = Comparator.comparing(
-                    ClientConnection::hasBeenAnswered)
-            .thenComparing(
-                    Comparator.comparingDouble(ClientConnection::idleSeconds).reversed());
+    private static final Comparator<IdleConnection> EVICTED_FIRST = Comparator.comparing(IdleConnection::answered)
+            .thenComparing(Comparator.comparingDouble(IdleConnection::seconds).reversed());
+
+    /** A connection and what is compared of it, as it was at one moment: a sort must not see it change. */
+    private record IdleConnection(ClientConnection connection, boolean answered, double seconds) {
+
+        static IdleConnection of(ClientConnection connection) {
+            return new IdleConnection(connection, connection.hasBeenAnswered(), connection.idleSeconds());
+        }
+    }
 
     // ResponseConnControl is left out: it closes the connection after every 503.
     private final HttpProcessor processor = HttpProcessorBuilder.create()
@@ -139,16 +145,6 @@
         }
     }
 
-    private void accepted(SocketChannel channel, ConnectionArrival arrival) {
-        handedOver.incrementAndGet();
-        try {
-            reactor.add(channel, arrival);
-        } catch (IOReactorShutdownException e) {
-            handedOver.decrementAndGet();
-            Closer.closeQuietly(channel);
-        }
-    }
-
     /** What the accepting thread hands to this listener. */
     private final class Intake implements ConnectionAcceptor.Listener {
 
@@ -159,18 +155,25 @@
 
         @Override
         public void accepted(SocketChannel channel, ConnectionArrival arrival) {
-            HttpListener.this.accepted(channel, arrival);
+            handedOver.incrementAndGet();
+            try {
+                reactor.add(channel, arrival);
+            } catch (IOReactorShutdownException e) {
+                handedOver.decrementAndGet();
+                Closer.closeQuietly(channel);
+            }
         }
     }
 
     private void evictIdle(int most) {
         connections.values().stream()
-                .filter(connection -> connection.idleSeconds() > limits.evictSeconds())
+                .map(IdleConnection::of)
+                .filter(idle -> idle.seconds() > limits.evictSeconds())
                 .sorted(EVICTED_FIRST)
                 .limit(most)
-                .forEach(connection -> {
+                .forEach(idle -> {
                     counters.increment(Counter.CONNECTIONS_EVICTED);
-                    connection.close();
+                    idle.connection().close();
                 });
     }
 
