One LruMap, one maker of daemon threads, one line of counters

Found by reading the change once more: EngineStartTimes wrote LruMap again, three types of the transport wrote DaemonThreads again, Gateway formatted the counters beside CountersLog, two tests held the same operator's file, the soak's engine slept beside SoakFaults.pause. LruMap and DaemonThreads move to core, where all can call them; of more than 8,192 engines the one not listed longest is forgotten, no longer the one heard of first. AppliedState's comments stand beside what they tell of.

--- a/src/main/java/dunlinladder/core/EngineStartTimes.java
+++ b/src/main/java/dunlinladder/core/EngineStartTimes.java
@@ -1,6 +1,5 @@
 package dunlinladder.core;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -40,14 +39,7 @@
     private final MonotonicClock clock;
     private final WallClock wallClock;
     private final double warmUpSeconds;
-    private final Map<String, Start> known = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Start> eldest) {
-            return size() > MAX_KNOWN;
-        }
-    };
+    private final Map<String, Start> known = new LruMap<>(MAX_KNOWN);
     /** Greatest difference of a stated start to the clock at its news: that news was the shortest time under way. */
     private double fastestNews = Double.NEGATIVE_INFINITY;
     /** Whether discovery has answered, so that what it says from now on is news. */
--- a/src/main/java/dunlinladder/routing/LruMap.java
+++ b/src/main/java/dunlinladder/core/LruMap.java
@@ -1,10 +1,10 @@
-package dunlinladder.routing;
+package dunlinladder.core;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** A map that forgets the least recently used entry once it holds more than its bound. */
-final class LruMap<K, V> extends LinkedHashMap<K, V> {
+public final class LruMap<K, V> extends LinkedHashMap<K, V> {
 
     private static final long serialVersionUID = 1;
     private static final int INITIAL_CAPACITY = 16;
@@ -12,7 +12,8 @@
 
     private final int maxEntries;
 
-    LruMap(int maxEntries) {
+    /** Creates an empty map that holds at most {@code maxEntries}. */
+    public LruMap(int maxEntries) {
         super(INITIAL_CAPACITY, LOAD_FACTOR, true);
         this.maxEntries = maxEntries;
     }
--- a/src/main/java/dunlinladder/lifecycle/AppliedState.java
+++ b/src/main/java/dunlinladder/lifecycle/AppliedState.java
@@ -73,14 +73,6 @@
         write(file, BASE_FIELD);
     }
 
-    /** Without it a crash may bring the old file back after this has reported success. */
-    private static void syncFolderOf(Path file) throws IOException {
-        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
-            folder.force(true);
-        }
-    }
-
-    /** Replaces the file in one step, so that a crash leaves the old one. */
     private void write(Path file, String serialField) throws IOException {
         String text = JsonObject.write(
                         Map.of(serialField, serial, CHECKSUM_FIELD, checksum(), SETTINGS_FIELD, settings.values()))
@@ -96,12 +88,12 @@
     private long checksum() {
         CRC32C checksum = new CRC32C();
         checksum.update(Long.toString(serial).getBytes(StandardCharsets.UTF_8));
-        settings.values().forEach((key, value) -> {
-            checksum.update(("\n" + key + "=" + value).getBytes(StandardCharsets.UTF_8));
-        });
+        settings.values()
+                .forEach((key, value) -> checksum.update(("\n" + key + "=" + value).getBytes(StandardCharsets.UTF_8)));
         return checksum.getValue();
     }
 
+    /** Replaces the file in one step, so that a crash leaves the old one. */
     private static void replace(Path file, String text) throws IOException {
         Path temporary = Files.createTempFile(
                 file.toAbsolutePath().getParent(), file.getFileName().toString(), ".part");
@@ -119,4 +111,11 @@
             Files.deleteIfExists(temporary);
         }
     }
+
+    /** Without it a crash may bring the old file back after this has reported success. */
+    private static void syncFolderOf(Path file) throws IOException {
+        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
+            folder.force(true);
+        }
+    }
 }
--- a/src/main/java/dunlinladder/lifecycle/CountersLog.java
+++ b/src/main/java/dunlinladder/lifecycle/CountersLog.java
@@ -21,7 +21,16 @@
         String text = counters.logText();
         if (!text.equals(logged)) {
             logged = text;
-            LOG.info("event=counters {}", text);
+            log(text);
         }
     }
+
+    /** Logs the counts, changed or not. */
+    void logAnyway() {
+        log(counters.logText());
+    }
+
+    private static void log(String text) {
+        LOG.info("event=counters {}", text);
+    }
 }
--- a/src/main/java/dunlinladder/lifecycle/EndpointUpdatePublisher.java
+++ b/src/main/java/dunlinladder/lifecycle/EndpointUpdatePublisher.java
@@ -1,5 +1,6 @@
 package dunlinladder.lifecycle;
 
+import dunlinladder.core.DaemonThreads;
 import dunlinladder.core.Engine;
 import dunlinladder.core.EngineRegistry;
 import dunlinladder.core.EngineStartTimes;
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -1,5 +1,6 @@
 package dunlinladder.lifecycle;
 
+import dunlinladder.core.DaemonThreads;
 import dunlinladder.core.Limits;
 import dunlinladder.core.MonotonicClock;
 import dunlinladder.migration.Generation;
@@ -54,6 +55,7 @@
     private final ScheduledExecutorService timer = createTimer();
     private final GatewayAssembly parts;
     private final WallClockMonitor wallClockMonitor;
+    private final CountersLog countersLog;
     private volatile LifecycleState state = LifecycleState.STARTING;
 
     /**
@@ -69,6 +71,7 @@
         parts = new GatewayAssembly(config, chat, timer, () -> state);
         wallClockMonitor = new WallClockMonitor(
                 parts.wallClock(), parts.clock()::now, parts.instruments().counters());
+        countersLog = new CountersLog(parts.instruments().counters());
         scheduleRecurringTasks();
     }
 
@@ -87,8 +90,7 @@
                 (long) (limits.schedulingLagCheckSeconds() * MICROS_PER_SECOND),
                 TimeUnit.MICROSECONDS);
         timer.scheduleWithFixedDelay(
-                new RecurringTask(
-                        "counters", new CountersLog(parts.instruments().counters())),
+                new RecurringTask("counters", countersLog),
                 COUNTERS_INTERVAL_SECONDS,
                 COUNTERS_INTERVAL_SECONDS,
                 TimeUnit.SECONDS);
@@ -205,7 +207,7 @@
         awaitClientConnections();
         parts.fronts().forEach(HttpListener::close);
         state = LifecycleState.CLOSED;
-        LOG.info("event=counters {}", parts.instruments().counters().logText());
+        countersLog.logAnyway();
         LOG.info("event=stopped");
         return true;
     }
--- a/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
@@ -2,6 +2,7 @@
 
 import dunlinladder.core.CacheHoldLedger;
 import dunlinladder.core.Counters;
+import dunlinladder.core.DaemonThreads;
 import dunlinladder.core.Dispatcher;
 import dunlinladder.core.Engine;
 import dunlinladder.core.EngineRegistry;
--- a/src/main/java/dunlinladder/routing/PrefixCacheIndex.java
+++ b/src/main/java/dunlinladder/routing/PrefixCacheIndex.java
@@ -1,5 +1,6 @@
 package dunlinladder.routing;
 
+import dunlinladder.core.LruMap;
 import dunlinladder.routing.RoutingSettings.Role;
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/src/main/java/dunlinladder/transport/discovery/EndpointWatcher.java
+++ b/src/main/java/dunlinladder/transport/discovery/EndpointWatcher.java
@@ -1,5 +1,6 @@
 package dunlinladder.transport.discovery;
 
+import dunlinladder.core.DaemonThreads;
 import dunlinladder.core.MonotonicClock;
 import dunlinladder.membership.EndpointUpdate;
 import dunlinladder.membership.WatchCommand;
@@ -137,8 +138,7 @@
     private boolean open(WatchCommand.Open command) {
         WatchCall call = new WatchCall(command, reader, timeouts.connect().giveUpSeconds(), new CallListener());
         calls.put(call.id(), call);
-        Thread thread = new Thread(call, "discovery-" + call.id());
-        thread.setDaemon(true);
+        Thread thread = DaemonThreads.create(call, "discovery-" + call.id());
         try {
             thread.start();
         } catch (OutOfMemoryError e) {
--- a/src/main/java/dunlinladder/transport/engine/SchedulingLagMonitor.java
+++ b/src/main/java/dunlinladder/transport/engine/SchedulingLagMonitor.java
@@ -1,5 +1,6 @@
 package dunlinladder.transport.engine;
 
+import dunlinladder.core.DaemonThreads;
 import dunlinladder.transport.http.TransientFailures;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -154,13 +155,7 @@
         sender = null;
         reset();
         Closer.closeQuietly(lost);
-        startReconnecting();
-    }
-
-    private void startReconnecting() {
-        Thread thread = new Thread(this::reconnect, "lag-monitor");
-        thread.setDaemon(true);
-        thread.start();
+        DaemonThreads.create(this::reconnect, "lag-monitor").start();
     }
 
     /** Not on the I/O thread, which would wait for itself. */
--- a/src/main/java/dunlinladder/transport/http/HttpListener.java
+++ b/src/main/java/dunlinladder/transport/http/HttpListener.java
@@ -2,6 +2,7 @@
 
 import dunlinladder.core.Counter;
 import dunlinladder.core.Counters;
+import dunlinladder.core.DaemonThreads;
 import dunlinladder.core.Limits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -111,16 +112,10 @@
                 e -> LOG.warn("event=listener_error reason={}", e.toString()),
                 new SessionEndListener(),
                 ShutdownCommand.GRACEFUL_NORMAL_CALLBACK,
-                task -> daemon(task, "client-io"));
+                task -> DaemonThreads.create(task, "client-io"));
         reactor.start();
     }
 
-    private static Thread daemon(Runnable task, String name) {
-        Thread thread = new Thread(task, name);
-        thread.setDaemon(true);
-        return thread;
-    }
-
     private static IOReactorConfig reactorConfig() {
         return IOReactorConfig.custom()
                 .setIoThreadCount(IO_THREADS)
@@ -194,7 +189,7 @@
     public int listen(InetSocketAddress address) throws IOException {
         try {
             acceptor = new ConnectionAcceptor(address, LISTEN_QUEUE, counters, new Intake());
-            daemon(acceptor, "client-accept").start();
+            DaemonThreads.create(acceptor, "client-accept").start();
             return acceptor.port();
         } catch (IOException e) {
             throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
--- a/src/test/java/dunlinladder/it/AppliedStateFaultsTest.java
+++ b/src/test/java/dunlinladder/it/AppliedStateFaultsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dunlinladder.lifecycle.OperatorsFile;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,12 +22,6 @@
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class AppliedStateFaultsTest {
 
-    private static final String OPERATORS_FILE = """
-            listen = "127.0.0.1:8090"
-            keys.CHAT_KEY.tenant = "acme"
-            models.find.class = "lookup"
-            models.find.max_tokens = 300
-            """;
     private static final int FOR_GOOD = 1_000_000;
     private static final int NO_CHANGES = 0;
 
@@ -41,7 +36,7 @@
     void write() throws Exception {
         faults = new MachineFaults();
         state = folder.resolve("applied.json");
-        file = Files.writeString(folder.resolve("chat.toml"), OPERATORS_FILE);
+        file = Files.writeString(folder.resolve("chat.toml"), OperatorsFile.TEXT);
     }
 
     @AfterEach
@@ -90,7 +85,7 @@
             throws Exception {
         assertEquals(0, run("apply"));
         byte[] before = Files.readAllBytes(state);
-        Files.writeString(file, OPERATORS_FILE.replace("300", "400"));
+        Files.writeString(file, OperatorsFile.TEXT.replace("300", "400"));
         faults.fail(call, errno, FOR_GOOD);
         assertEquals(1, run("apply"));
         assertArrayEquals(before, Files.readAllBytes(state));
--- a/src/test/java/dunlinladder/it/SoakEngine.java
+++ b/src/test/java/dunlinladder/it/SoakEngine.java
@@ -19,9 +19,9 @@
 final class SoakEngine {
 
     private static final int LISTEN_QUEUE = 2;
-    private static final int MAX_PREFILL_MILLIS = 60;
+    private static final double MAX_PREFILL_SECONDS = 0.06;
     private static final int EVENTS = 6;
-    private static final int EVENT_MILLIS = 30;
+    private static final double EVENT_SECONDS = 0.03;
     private static final double PARTIAL_CHANCE = 0.5;
 
     /** How the engine answers. */
@@ -129,7 +129,7 @@
     }
 
     private boolean prefill(String id, Mode now, Socket socket) throws IOException {
-        pause(random.nextInt(MAX_PREFILL_MILLIS));
+        SoakFaults.pause(random.nextDouble() * MAX_PREFILL_SECONDS);
         if (isClosed(socket)) {
             // What is read for nobody is not kept.
             print(SoakEvent.Kind.PREFILL_DROPPED, id, 0);
@@ -155,7 +155,7 @@
         RawHttp.write(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (int i = 0; i < EVENTS; i++) {
             RawHttp.writeChunk(out, StubAnswer.delta("x", i + 1 < EVENTS ? "null" : "\"stop\""));
-            pause(EVENT_MILLIS);
+            SoakFaults.pause(EVENT_SECONDS);
         }
         RawHttp.writeChunk(out, "data: [DONE]\n\n");
         RawHttp.writeLastChunk(out);
@@ -184,15 +184,6 @@
         }
     }
 
-    /** An engine takes its time; nothing waits for it here but its client. */
-    private static void pause(int millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private void print(SoakEvent.Kind kind, String id, double timeout) {
         System.out.println(new SoakEvent(System.nanoTime(), kind, id, name, timeout).line());
     }
--- a/src/test/java/dunlinladder/lifecycle/PlanCommandsTest.java
+++ b/src/test/java/dunlinladder/lifecycle/PlanCommandsTest.java
@@ -22,13 +22,6 @@
 /** The operator's commands and both configurations' messages. */
 class PlanCommandsTest {
 
-    private static final String FILE = """
-            listen = "127.0.0.1:8090"
-            keys.CHAT_KEY.tenant = "acme"
-            models.find.class = "lookup"
-            models.find.max_tokens = 300
-            """;
-
     @TempDir
     private Path folder;
 
@@ -40,7 +33,7 @@
     @BeforeEach
     void write() throws Exception {
         state = folder.resolve("applied.json");
-        file = Files.writeString(folder.resolve("chat.toml"), FILE);
+        file = Files.writeString(folder.resolve("chat.toml"), OperatorsFile.TEXT);
         commands = new PlanCommands(state, Map.of(), new PrintStream(printed));
     }
 
@@ -54,7 +47,7 @@
         byte[] applied = Files.readAllBytes(state);
         commands.apply(file);
         assertArrayEquals(applied, Files.readAllBytes(state));
-        Files.writeString(file, FILE.replace("300", "400").replace("CHAT_KEY", "NEW_KEY"));
+        Files.writeString(file, OperatorsFile.TEXT.replace("300", "400").replace("CHAT_KEY", "NEW_KEY"));
         printed.reset();
         assertEquals(PlanCommands.CHANGES, commands.plan(file, Optional.empty()));
         assertEquals(
@@ -68,7 +61,7 @@
         Path first = folder.resolve("first");
         Path second = folder.resolve("second");
         commands.plan(file, Optional.of(first));
-        Files.writeString(file, FILE.replace("300", "400"));
+        Files.writeString(file, OperatorsFile.TEXT.replace("300", "400"));
         commands.plan(file, Optional.of(second));
         commands.apply(second);
         assertTrue(assertThrows(InvalidInputException.class, () -> commands.apply(first))
@@ -91,7 +84,7 @@
                 "models.find.class = \"lookup\"|''|models.find.class is missing"
             })
     void faultInTheFileIsReportedWithItsKey(String part, String instead, String named) throws Exception {
-        Files.writeString(file, FILE.replace(part, instead));
+        Files.writeString(file, OperatorsFile.TEXT.replace(part, instead));
         InvalidInputException error = assertThrows(InvalidInputException.class, () -> commands.apply(file));
         assertTrue(error.getMessage().contains(named), error.getMessage());
         assertTrue(Files.notExists(state));
