--- a/src/test/java/dunlinladder/it/StubAnswer.java
+++ b/src/test/java/dunlinladder/it/StubAnswer.java
@@ -54,6 +54,9 @@
         if (!request.target().startsWith(server.knownPathPrefix)) {
             return writeHead("404 Unknown\r\nContent-Length: 2", "{}");
         }
+        if (server.missingCacheFor.test(request.headers().get("X-Request-ID"))) {
+            return writeHead("410 Gone\r\nX-Not-Processed: 1\r\nContent-Length: 0");
+        }
         if (asks("hang")) {
             return awaitClose();
         }
--- a/src/test/java/dunlinladder/it/StubServer.java
+++ b/src/test/java/dunlinladder/it/StubServer.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Predicate;
 
 /** A stub of an engine or of discovery on a free loopback port; {@link StubAnswer} tells how an engine answers. */
 final class StubServer implements AutoCloseable {
@@ -45,6 +46,8 @@
     volatile boolean firstEventReceived;
     /** How many events of a stream "in steps" the client has received: the next one is written then. */
     volatile int eventsReceived;
+    /** Of which requests, by their ids, there is no KV cache to fetch. */
+    volatile Predicate<String> missingCacheFor = id -> false;
     /** Paths that begin otherwise are answered with 404. */
     volatile String knownPathPrefix = "/v1/";
 
@@ -83,8 +86,12 @@
         thread.start();
     }
 
+    int port() {
+        return listener.getLocalPort();
+    }
+
     String address() {
-        return "127.0.0.1:" + listener.getLocalPort();
+        return "127.0.0.1:" + port();
     }
 
     /** Sends an update to every watch, as discovery does. */
