Attempts tell whether they were written or confirmed; the cache ledger goes by arrival

Written is not arrived: the ledger stopped a hold's clock with the last byte handed to the kernel, as the rule's code did, so that no alarm was raised in the incident. Attempts have typed states (connecting, writing, written, confirmed, streaming); only the first byte of an answer stops the clock, which runs on through a chain of attempts that never arrived. New lines: attempt_reached, attempt_unconfirmed, reach in attempt_ended; counter attempts_unconfirmed.

--- a/src/main/java/dunlinladder/core/Attempt.java
+++ b/src/main/java/dunlinladder/core/Attempt.java
@@ -8,7 +8,7 @@
  * @param number counted from 0 within the request
  * @param engine the engine as it was listed when the attempt was made
  * @param firstTokenDeadline clock time in seconds until which the gateway waits for the first token
- * @param sendDeadline clock time in seconds until which its last byte has to be written; else it ends as never sent
+ * @param arrival until when it has to be out, where a KV cache waits for it
  * @param mayHaveEffect whether the attempt can have an effect: false at an engine that only prefills
  */
 public record Attempt(
@@ -16,5 +16,5 @@
         int number,
         Engine engine,
         double firstTokenDeadline,
-        double sendDeadline,
+        ArrivalDeadlines arrival,
         boolean mayHaveEffect) {}
--- a/src/main/java/dunlinladder/core/AttemptHistory.java
+++ b/src/main/java/dunlinladder/core/AttemptHistory.java
@@ -24,6 +24,7 @@
         final double sentAt;
         double endedAt;
         Outcome outcome;
+        AttemptReach reach = AttemptReach.UNWRITTEN;
 
         Entry(Attempt attempt, double sentAt) {
             this.attempt = attempt;
@@ -41,10 +42,15 @@
         entries.add(new Entry(attempt, now));
     }
 
-    /** Records how the attempt that was sent last ended, at clock time {@code now} in seconds. */
-    public void recordEnd(Outcome outcome, double now) {
+    /**
+     * Records how the attempt that was sent last ended, at clock time {@code now} in seconds.
+     *
+     * @param reach how far it is known to have come
+     */
+    public void recordEnd(Outcome outcome, AttemptReach reach, double now) {
         Entry last = last();
         last.outcome = outcome;
+        last.reach = reach;
         last.endedAt = now;
     }
 
@@ -90,6 +96,9 @@
                 .append(Seconds.text(Math.max(entry.sentAt, entry.endedAt) - firstSentAt))
                 .append(' ')
                 .append(entry.outcome == null ? "in flight" : entry.outcome.ending());
+        if (entry.outcome != null && entry.reach == AttemptReach.WRITTEN) {
+            text.append(" unconfirmed");
+        }
     }
 
     @Override
--- a/src/main/java/dunlinladder/core/AttemptRunner.java
+++ b/src/main/java/dunlinladder/core/AttemptRunner.java
@@ -10,7 +10,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(AttemptRunner.class);
     private static final String ENDED_FORMAT = "event=attempt_ended request={} class={} attempt={} engine={} "
-            + "prefill_only={} engine_age={} outcome={} seconds={} since_arrival={} first_token={} prompt={} prefix={} "
+            + "prefill_only={} engine_age={} reach={} outcome={} seconds={} since_arrival={} first_token={} prompt={} prefix={} "
             + "cached={}";
 
     private final RequestRouter router;
@@ -30,7 +30,7 @@
      */
     private final class Progress implements AttemptListener {
         private final Attempt attempt;
-        private volatile boolean sent;
+        private volatile AttemptReach reach = AttemptReach.UNWRITTEN;
         private volatile double firstTokenAt = Double.NaN;
 
         Progress(Attempt attempt) {
@@ -38,9 +38,32 @@
         }
 
         @Override
-        public void requestSent() {
-            sent = true;
-            cacheHolds.attemptSent(attempt.request().id());
+        public void requestWritten() {
+            if (reach != AttemptReach.UNWRITTEN) {
+                // An engine may answer before it has the whole request.
+                return;
+            }
+            reach = AttemptReach.WRITTEN;
+            cacheHolds.attemptWritten(attempt.request().id());
+            logReached();
+        }
+
+        @Override
+        public void confirmed() {
+            reach = AttemptReach.CONFIRMED;
+            cacheHolds.attemptConfirmed(attempt.request().id());
+            logReached();
+        }
+
+        @Override
+        public void confirmationOverdue() {
+            counters.increment(Counter.ATTEMPTS_UNCONFIRMED);
+            LOG.info(
+                    "event=attempt_unconfirmed request={} class={} attempt={} engine={}",
+                    attempt.request().id(),
+                    attempt.request().serviceClass(),
+                    attempt.number(),
+                    attempt.engine().id());
         }
 
         @Override
@@ -50,8 +73,17 @@
             router.firstToken(attempt);
         }
 
-        boolean isSent() {
-            return sent;
+        private void logReached() {
+            LOG.debug(
+                    "event=attempt_reached request={} attempt={} engine={} reach={}",
+                    attempt.request().id(),
+                    attempt.number(),
+                    attempt.engine().id(),
+                    reach.logName());
+        }
+
+        AttemptReach reach() {
+            return reach;
         }
 
         boolean hasFirstToken() {
@@ -97,8 +129,8 @@
         }
         Outcome outcome = call.get().await();
         double endedAt = clock.now();
-        request.history().recordEnd(outcome, endedAt);
-        cacheHolds.attemptEnded(attempt, outcome, progress.isSent(), endedAt);
+        request.history().recordEnd(outcome, progress.reach(), endedAt);
+        cacheHolds.attemptEnded(attempt, outcome, progress.reach(), endedAt);
         count(outcome);
         logEnded(request, attempt, outcome, new Times(sentAt, endedAt), progress);
         return conclude(request, attempt, outcome, progress.hasFirstToken());
@@ -114,9 +146,7 @@
                 request.history().size(),
                 listed.orElseGet(() -> Engine.unlisted(forward.engine())),
                 firstTokenDeadline,
-                Math.min(
-                        firstTokenDeadline,
-                        cacheHolds.sendDeadline(request.request().id())),
+                cacheHolds.arrivalDeadlines(request.request().id()),
                 listed.isEmpty() || !guard.isPrefillOnly(listed.get()));
     }
 
@@ -143,7 +173,7 @@
         boolean disconnected = request.isDisconnected();
         Outcome outcome = Outcome.of(Outcome.Ending.CONNECT_FAILED);
         count(outcome);
-        request.history().recordEnd(outcome, clock.now());
+        request.history().recordEnd(outcome, AttemptReach.UNWRITTEN, clock.now());
         router.attemptEnded(attempt, outcome, disconnected);
         return disconnected;
     }
@@ -215,6 +245,7 @@
                         engine.id(),
                         !attempt.mayHaveEffect(),
                         engine.startedAt() > 0 ? (long) (times.endedAt() - engine.startedAt()) : "-",
+                        progress.reach().logName(),
                         outcome.ending(),
                         Seconds.text(times.endedAt() - times.sentAt()),
                         Seconds.text(times.sentAt() - inFlight.acceptedAt()),
--- a/src/main/java/dunlinladder/core/CacheHoldLedger.java
+++ b/src/main/java/dunlinladder/core/CacheHoldLedger.java
@@ -7,9 +7,9 @@
 
 /**
  * Which requests have a KV cache that waits at an engine, and since when: the run-time check of the rule that what is
- * held is used by an attempt or released in time. It goes by what was sent and how it ended, not by what was decided,
- * so that an attempt which never gets out does not count as one. A hold that lasts too long is counted and logged,
- * once.
+ * held is used by an attempt or released in time. It goes by what is known to have arrived and how it ended, not by
+ * what was decided or written: only an answer's first byte proves that an attempt has reached the engine's process, and
+ * until then the time runs on. A hold that lasts too long is counted and logged, once.
  *
  * <p>Times are clock seconds. Safe for use by several threads; the lock of this object guards all fields.
  */
@@ -19,6 +19,10 @@
 
     /** Of the allowed time: after it an attempt that did not get out is given up, so that a release has the rest. */
     private static final double MAX_UNSENT_FRACTION = 0.85;
+    /** Of the allowed time: after it an attempt without a byte of an answer counts as not arrived. */
+    private static final double MAX_UNCONFIRMED_FRACTION = 0.5;
+    /** Of the allowed time: what an attempt that was written late has for its way all the same. */
+    private static final double MIN_CONFIRM_FRACTION = 0.3;
     /** What the protocol page adds to the allowed time on sockets. */
     private static final double SOCKET_SLACK_SECONDS = 0.3;
 
@@ -28,15 +32,17 @@
 
     private static final class Hold {
         private double waitingSince;
-        private boolean attemptOut;
+        private boolean attemptWritten;
+        private boolean attemptConfirmed;
         private boolean releaseBegun;
+        private boolean released;
 
         Hold(double now) {
             waitingSince = now;
         }
 
         boolean isOverdue(double now, double allowedSeconds) {
-            return !attemptOut && now - waitingSince > allowedSeconds;
+            return !attemptConfirmed && !released && now - waitingSince > allowedSeconds;
         }
     }
 
@@ -46,18 +52,31 @@
         this.counters = counters;
     }
 
-    /** Clock time until which an attempt has to be out, as a KV cache waits for it; infinite where none does. */
-    synchronized double sendDeadline(String requestId) {
+    /** Until when an attempt for a request has to be out, as a KV cache waits for it. */
+    synchronized ArrivalDeadlines arrivalDeadlines(String requestId) {
         Hold hold = holds.get(requestId);
-        boolean bounded = hold != null && !hold.releaseBegun;
-        return bounded ? hold.waitingSince + MAX_UNSENT_FRACTION * releaseWithin : Double.POSITIVE_INFINITY;
+        if (hold == null || hold.releaseBegun) {
+            return ArrivalDeadlines.NONE;
+        }
+        return new ArrivalDeadlines(
+                hold.waitingSince + MAX_UNSENT_FRACTION * releaseWithin,
+                hold.waitingSince + MAX_UNCONFIRMED_FRACTION * releaseWithin,
+                MIN_CONFIRM_FRACTION * releaseWithin);
     }
 
-    /** The last byte of an attempt was written: it may fetch the KV cache, whose time stands still. */
-    synchronized void attemptSent(String requestId) {
+    /** The last byte of an attempt was written: it may arrive and fetch the KV cache, or never arrive. */
+    synchronized void attemptWritten(String requestId) {
         Hold hold = holds.get(requestId);
         if (hold != null) {
-            hold.attemptOut = true;
+            hold.attemptWritten = true;
+        }
+    }
+
+    /** An attempt has arrived: the KV cache is its own to fetch, and its time stands still. */
+    synchronized void attemptConfirmed(String requestId) {
+        Hold hold = holds.get(requestId);
+        if (hold != null) {
+            hold.attemptConfirmed = true;
         }
     }
 
@@ -69,21 +88,20 @@
     /**
      * An attempt has ended.
      *
-     * @param sent whether its last byte was written
+     * @param reach how far it is known to have come
      */
-    synchronized void attemptEnded(Attempt attempt, Outcome outcome, boolean sent, double now) {
+    synchronized void attemptEnded(Attempt attempt, Outcome outcome, AttemptReach reach, double now) {
         if (releaseWithin <= 0) {
             return;
         }
         String requestId = attempt.request().id();
+        boolean written = reach != AttemptReach.UNWRITTEN;
         if (outcome.ending() == Outcome.Ending.OK || outcome.isKvCacheMissing()) {
             holds.remove(requestId);
-        } else if (outcome.ending() == Outcome.Ending.PREFILLED || sent && mayLeaveCache(attempt, outcome)) {
+        } else if (outcome.ending() == Outcome.Ending.PREFILLED || written && mayLeaveCache(attempt, outcome)) {
             holds.put(requestId, new Hold(now));
-        } else if (sent && holds.containsKey(requestId)) {
-            Hold hold = holds.get(requestId);
-            hold.attemptOut = false;
-            hold.waitingSince = now;
+        } else if (holds.containsKey(requestId)) {
+            goOn(requestId, reach, now);
         }
     }
 
@@ -92,6 +110,19 @@
         return !attempt.mayHaveEffect() && !outcome.ending().neverRan();
     }
 
+    /** A decode attempt has left the KV cache unfetched: the time begins anew only behind one that has arrived. */
+    private void goOn(String requestId, AttemptReach reach, double now) {
+        Hold hold = holds.get(requestId);
+        if (hold.released) {
+            // It may have arrived before the release, which frees nothing that an attempt waits for.
+            holds.put(requestId, new Hold(now));
+            return;
+        }
+        hold.waitingSince = reach == AttemptReach.CONFIRMED ? now : hold.waitingSince;
+        hold.attemptWritten = false;
+        hold.attemptConfirmed = false;
+    }
+
     /** Engines are being asked to free what is held for a request. */
     public synchronized void releaseBegun(String requestId) {
         Hold hold = holds.get(requestId);
@@ -103,7 +134,12 @@
     /** An engine has taken the release of what was held when it was begun. */
     public synchronized void releaseTaken(String requestId) {
         Hold hold = holds.get(requestId);
-        if (hold != null && hold.releaseBegun) {
+        if (hold == null || !hold.releaseBegun) {
+            return;
+        }
+        if (hold.attemptWritten) {
+            hold.released = true;
+        } else {
             holds.remove(requestId);
         }
     }
@@ -119,9 +155,11 @@
         }
         counters.increment(Counter.INVARIANT_CACHE_HELD);
         LOG.error(
-                "event=invariant_violated invariant=cache_held request={} seconds={} release_begun={}",
+                "event=invariant_violated invariant=cache_held request={} seconds={} attempt_written={} "
+                        + "release_begun={}",
                 requestId,
                 Seconds.text(now - hold.waitingSince),
+                hold.attemptWritten,
                 hold.releaseBegun);
         return true;
     }
--- a/src/main/java/dunlinladder/core/Counter.java
+++ b/src/main/java/dunlinladder/core/Counter.java
@@ -16,6 +16,8 @@
     ATTEMPTS,
     /** Attempts that ended before their last byte was written. */
     ATTEMPTS_NOT_SENT,
+    /** Attempts that were written, and whose answer had not begun when the KV cache could wait no longer. */
+    ATTEMPTS_UNCONFIRMED,
     /** Attempts whose connection broke. */
     ATTEMPTS_RESET,
     /** Attempts that brought no first token in time. */
--- a/src/main/java/dunlinladder/core/SendGuard.java
+++ b/src/main/java/dunlinladder/core/SendGuard.java
@@ -76,7 +76,7 @@
         if (givenUp.getAsBoolean()) {
             return refuse(SendRefusal.CLIENT_GONE);
         }
-        if (clock.now() >= attempt.sendDeadline()) {
+        if (clock.now() >= Math.min(attempt.arrival().written(), attempt.firstTokenDeadline())) {
             return refuse(SendRefusal.TOO_LATE);
         }
         return engines.accepts(attempt.engine()) ? Optional.empty() : refuse(SendRefusal.ENGINE_NOT_ADMITTED);
--- a/src/main/java/dunlinladder/transport/engine/AttemptPhase.java
+++ b/src/main/java/dunlinladder/transport/engine/AttemptPhase.java
@@ -8,11 +8,17 @@
  * certainly not run, and one that ends after it may have.
  */
 enum AttemptPhase {
+    /** There is no connection yet. */
+    CONNECTING(Ending.CONNECT_FAILED, Ending.CONNECT_FAILED),
+
     /** The last byte of the request is not written. */
-    SENDING(Ending.CONNECT_FAILED, Ending.CONNECT_FAILED),
+    WRITING(Ending.CONNECT_FAILED, Ending.CONNECT_FAILED),
+
+    /** The request is written, and nothing has come back: it may or may not have arrived. */
+    WRITTEN(Ending.RESET, Ending.TIMEOUT),
 
-    /** The request is written, and no event has come back. */
-    SENT(Ending.RESET, Ending.TIMEOUT),
+    /** A byte of the answer has come back, and no event: the engine's process has read the request. */
+    CONFIRMED(Ending.RESET, Ending.TIMEOUT),
 
     /** At least one event has come back. */
     STREAMING(Ending.RESET, Ending.RESET);
--- a/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
+++ b/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
@@ -1,5 +1,6 @@
 package dunlinladder.transport.engine;
 
+import dunlinladder.core.ArrivalDeadlines;
 import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Outcome;
 import java.util.concurrent.CountDownLatch;
@@ -46,7 +47,9 @@
     private final EndListener listener;
     private final double startedAt;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private AttemptPhase phase = AttemptPhase.SENDING;
+    private AttemptPhase phase = AttemptPhase.CONNECTING;
+    private double writtenAt = Double.NaN;
+    private boolean overdueReported;
     private double firstEventAt = Double.NaN;
     private double lastActivityAt;
     private int unreadBytes;
@@ -55,11 +58,11 @@
     /**
      * Until when the engine may be silent.
      *
-     * @param send time by the clock until which the last byte of the request must have been written
+     * @param arrival until when the request must have been written, and have been answered by a first byte
      * @param firstEvent time by the clock until which the first event must have come
      * @param streamSeconds silence within the stream after which the attempt has timed out
      */
-    record Deadlines(double send, double firstEvent, double streamSeconds) {}
+    record Deadlines(ArrivalDeadlines arrival, double firstEvent, double streamSeconds) {}
 
     /** Starts now. */
     AttemptProgress(MonotonicClock clock, Deadlines deadlines, EndListener listener) {
@@ -71,6 +74,11 @@
 
     // ---- Sending ----
 
+    /** There is a connection, on which the request is being written. */
+    synchronized void connected() {
+        phase = phase == AttemptPhase.CONNECTING ? AttemptPhase.WRITING : phase;
+    }
+
     /**
      * To be asked before each write of the body, any of which may bring out the last byte.
      *
@@ -80,18 +88,36 @@
         if (hasEnded()) {
             return false;
         }
-        phase = AttemptPhase.SENT;
+        requestWritten();
         return true;
     }
 
     /** The write left bytes of the body behind. */
     synchronized void requestIncomplete() {
-        phase = phase == AttemptPhase.SENT ? AttemptPhase.SENDING : phase;
+        phase = phase == AttemptPhase.WRITTEN ? AttemptPhase.WRITING : phase;
+    }
+
+    /** The last byte of the request goes out. */
+    synchronized void requestWritten() {
+        if (phase.compareTo(AttemptPhase.WRITTEN) < 0) {
+            phase = AttemptPhase.WRITTEN;
+            writtenAt = clock.now();
+        }
     }
 
-    /** The last byte of the request goes out, or an answer shows that it did. */
-    synchronized void requestSent() {
-        phase = phase == AttemptPhase.SENDING ? AttemptPhase.SENT : phase;
+    /** A byte of the answer has come: the engine has read the request. */
+    synchronized void confirmed() {
+        phase = phase.compareTo(AttemptPhase.CONFIRMED) < 0 ? AttemptPhase.CONFIRMED : phase;
+    }
+
+    /** Whether it was written and its answer has not begun in time; true once. */
+    synchronized boolean becameOverdue() {
+        boolean overdue = phase == AttemptPhase.WRITTEN
+                && !overdueReported
+                && !hasEnded()
+                && clock.now() >= deadlines.arrival().confirmedWhenWrittenAt(writtenAt);
+        overdueReported |= overdue;
+        return overdue;
     }
 
     // ---- Streaming ----
@@ -157,7 +183,7 @@
      * @return whether there is an outcome
      */
     boolean awaitEnd() throws InterruptedException {
-        double left = deadline() - clock.now();
+        double left = nextDeadline() - clock.now();
         double seconds = Math.max(0, Math.min(left, deadlines.streamSeconds() / CHECKS_PER_SILENCE));
         // An outcome that is there is returned to an interrupted thread, too.
         return hasEnded() || ended.await((long) (seconds * NANOS_PER_SECOND), TimeUnit.NANOSECONDS);
@@ -168,15 +194,28 @@
         return outcome;
     }
 
+    /** The end of the attempt, or the time at which an answer to it is missed, if that is earlier. */
+    private synchronized double nextDeadline() {
+        if (overdueReported || phase.compareTo(AttemptPhase.CONFIRMED) >= 0) {
+            return deadline();
+        }
+        if (phase == AttemptPhase.WRITTEN) {
+            return Math.min(deadlines.arrival().confirmedWhenWrittenAt(writtenAt), deadline());
+        }
+        // It may be written meanwhile, so that the answer is missed from then on.
+        double confirmed = deadlines.arrival().confirmed();
+        return confirmed > clock.now() ? Math.min(confirmed, deadline()) : deadline();
+    }
+
     /**
-     * Until it is sent, as long as what waits for it may wait; until the stream begins, as long as the attempt may
+     * Until it is written, as long as what waits for it may wait; until the stream begins, as long as the attempt may
      * take. From then on an engine that is silent would keep its client waiting for good; it is not silent while the
      * client has not read what came.
      */
     private synchronized double deadline() {
         return switch (phase) {
-            case SENDING -> Math.min(deadlines.send(), deadlines.firstEvent());
-            case SENT -> deadlines.firstEvent();
+            case CONNECTING, WRITING -> Math.min(deadlines.arrival().written(), deadlines.firstEvent());
+            case WRITTEN, CONFIRMED -> deadlines.firstEvent();
             case STREAMING -> (unreadBytes > 0 ? clock.now() : lastActivityAt) + deadlines.streamSeconds();
         };
     }
--- a/src/main/java/dunlinladder/transport/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCall.java
@@ -68,8 +68,7 @@
         this.requestBody = ByteBuffer.wrap(request.body());
         this.progress = new AttemptProgress(
                 context.clock(),
-                new AttemptProgress.Deadlines(
-                        attempt.sendDeadline(), attempt.firstTokenDeadline(), limits.streamSeconds()),
+                new AttemptProgress.Deadlines(attempt.arrival(), attempt.firstTokenDeadline(), limits.streamSeconds()),
                 this::reportOutcome);
         this.listener = listener;
         this.flowControl = new EngineFlowControl(this::failed);
@@ -83,6 +82,9 @@
     @Override
     public Outcome await() throws InterruptedException {
         while (!progress.awaitEnd()) {
+            if (progress.becameOverdue()) {
+                listener.confirmationOverdue();
+            }
             if (progress.endIfTimedOut()) {
                 closeConnection();
             }
@@ -121,10 +123,11 @@
             closeConnection();
             throw new ConnectionClosedException("no longer to be sent");
         }
+        progress.connected();
         BasicHttpRequest head = requestHead();
         if (!requestBody.hasRemaining()) {
-            progress.requestSent();
-            listener.requestSent();
+            progress.requestWritten();
+            listener.requestWritten();
             channel.sendRequest(head, null, httpContext);
         } else {
             channel.sendRequest(head, requestEntity(), httpContext);
@@ -165,7 +168,7 @@
             }
         }
         if (!requestBody.hasRemaining()) {
-            listener.requestSent();
+            listener.requestWritten();
             channel.endStream();
         }
     }
@@ -174,7 +177,8 @@
 
     @Override
     void responseHead(HttpResponse response, EntityDetails entity) throws HttpException {
-        progress.requestSent();
+        progress.confirmed();
+        listener.confirmed();
         responseHead = EngineResponseHead.of(response);
         if (responseHead.isStream() && entity != null && !entity.isChunked() && entity.getContentLength() < 0) {
             // Its end could not be told from a break.
--- a/src/test/java/dunlinladder/core/AttemptHistoryTest.java
+++ b/src/test/java/dunlinladder/core/AttemptHistoryTest.java
@@ -14,7 +14,8 @@
 
     private static Attempt attempt(int number, String engine, boolean mayHaveEffect) {
         Request request = RequestBuilder.request("id").build();
-        return new Attempt(request, number, EngineBuilder.engine(engine).build(), 10, 10, mayHaveEffect);
+        return new Attempt(
+                request, number, EngineBuilder.engine(engine).build(), 10, ArrivalDeadlines.NONE, mayHaveEffect);
     }
 
     @Test
@@ -24,7 +25,7 @@
         assertTrue(history.mayHaveRun());
         assertEquals(Optional.empty(), history.lastOutcome());
         Outcome full = Outcome.of(Outcome.Ending.FULL);
-        history.recordEnd(full, 5.5);
+        history.recordEnd(full, AttemptReach.CONFIRMED, 5.5);
         assertFalse(history.mayHaveRun());
         assertEquals(Optional.of(full), history.lastOutcome());
     }
@@ -33,7 +34,7 @@
     void writesTimesFromTheFirstSend() {
         assertEquals("[]", history.logText());
         history.recordSent(attempt(0, "r1", false), 5);
-        history.recordEnd(Outcome.of(Outcome.Ending.PREFILLED), 5.25);
+        history.recordEnd(Outcome.of(Outcome.Ending.PREFILLED), AttemptReach.CONFIRMED, 5.25);
         history.recordSent(attempt(1, "w1", true), 5.5);
         assertEquals("[0 at r1 prefill_only 0.000-0.250 PREFILLED; 1 at w1 0.500-0.500 in flight]", history.logText());
     }
--- a/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
+++ b/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** A KV cache that waits too long is counted, and an attempt that waits for a connection does not stop its time. */
+/** A KV cache that waits too long is counted; only an attempt that has certainly arrived stops its time. */
 class CacheHoldLedgerTest {
 
     private final Counters counters = new Counters();
@@ -15,11 +15,11 @@
     private final Request request = RequestBuilder.request("id").build();
 
     private Attempt attempt(boolean mayHaveEffect) {
-        return new Attempt(request, 0, EngineBuilder.engine("e").build(), 100, 100, mayHaveEffect);
+        return new Attempt(request, 0, EngineBuilder.engine("e").build(), 100, ArrivalDeadlines.NONE, mayHaveEffect);
     }
 
-    private void prefill(Ending ending, boolean sent) {
-        ledger.attemptEnded(attempt(false), Outcome.of(ending), sent, 10);
+    private void prefill(Ending ending, AttemptReach reach) {
+        ledger.attemptEnded(attempt(false), Outcome.of(ending), reach, 10);
     }
 
     private long violationsAt(double now) {
@@ -29,44 +29,78 @@
 
     @ParameterizedTest
     @CsvSource({
-        "PREFILLED, true, 1",
-        "RESET, true, 1",
-        "TIMEOUT, true, 1",
-        "CANCELLED, true, 1",
-        "CONNECT_FAILED, false, 0",
-        "CANCELLED, false, 0",
-        "FULL, true, 0"
+        "PREFILLED, CONFIRMED, 1",
+        "RESET, WRITTEN, 1",
+        "TIMEOUT, WRITTEN, 1",
+        "CANCELLED, WRITTEN, 1",
+        "CONNECT_FAILED, UNWRITTEN, 0",
+        "CANCELLED, UNWRITTEN, 0",
+        "FULL, CONFIRMED, 0"
     })
-    void countsOnceWhatAPrefillLeft(Ending ending, boolean sent, long violations) {
-        prefill(ending, sent);
+    void countsOnceWhatAPrefillLeft(Ending ending, AttemptReach reach, long violations) {
+        prefill(ending, reach);
         assertEquals(0, violationsAt(10.79));
         assertEquals(violations, violationsAt(10.81));
         assertEquals(violations, violationsAt(11));
     }
 
     @Test
-    void timeRunsOnWhileNoAttemptGetsOutAndBeginsAnewBehindOneThatDid() {
-        prefill(Ending.PREFILLED, true);
-        assertEquals(10.425, ledger.sendDeadline("id"), 1e-9);
-        ledger.attemptEnded(attempt(true), Outcome.of(Ending.CONNECT_FAILED), false, 10.3);
-        assertEquals(10.425, ledger.sendDeadline("id"), 1e-9);
-        ledger.attemptSent("id");
+    void timeRunsOnThroughAttemptsThatWereNotConfirmedAndBeginsAnewBehindOneThatWas() {
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
+        assertEquals(10.425, ledger.arrivalDeadlines("id").written(), 1e-9);
+        ledger.attemptEnded(attempt(true), Outcome.of(Ending.CONNECT_FAILED), AttemptReach.UNWRITTEN, 10.2);
+        ledger.attemptWritten("id");
+        ledger.attemptEnded(attempt(true), Outcome.of(Ending.RESET), AttemptReach.WRITTEN, 10.3);
+        assertEquals(10.425, ledger.arrivalDeadlines("id").written(), 1e-9);
+        ledger.attemptWritten("id");
+        ledger.attemptConfirmed("id");
         assertEquals(0, violationsAt(19));
-        ledger.attemptEnded(attempt(true), Outcome.of(Ending.RESET), true, 20);
-        assertEquals(20.425, ledger.sendDeadline("id"), 1e-9);
+        ledger.attemptEnded(attempt(true), Outcome.of(Ending.RESET), AttemptReach.CONFIRMED, 20);
+        assertEquals(20.425, ledger.arrivalDeadlines("id").written(), 1e-9);
+        assertEquals(1, violationsAt(20.81));
+    }
+
+    /** Incident 2026-12-02, silent engines: an attempt that was written stopped the clock, and no alarm was raised. */
+    @Test
+    void countsACacheBehindAnAttemptThatWasWrittenAndNotConfirmed() {
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
+        ledger.attemptWritten("id");
+        assertEquals(0, violationsAt(10.79));
+        assertEquals(1, violationsAt(10.81));
+    }
+
+    @Test
+    void attemptHasSomeTimeForItsWayHoweverLateItWasWritten() {
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
+        ArrivalDeadlines deadlines = ledger.arrivalDeadlines("id");
+        assertEquals(10.25, deadlines.confirmedWhenWrittenAt(10.01), 1e-9);
+        assertEquals(10.35, deadlines.confirmedWhenWrittenAt(10.2), 1e-9);
+        assertEquals(10.425, deadlines.confirmedWhenWrittenAt(10.4), 1e-9);
+    }
+
+    /** The attempt may have arrived before the release, which frees nothing that an attempt waits for. */
+    @Test
+    void releaseBehindAnAttemptHoldsUntilThatAttemptEnds() {
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
+        ledger.attemptWritten("id");
+        ledger.releaseBegun("id");
+        ledger.releaseTaken("id");
+        assertEquals(0, violationsAt(19));
+        ledger.attemptEnded(attempt(true), Outcome.of(Ending.TIMEOUT), AttemptReach.WRITTEN, 20);
+        assertEquals(0, violationsAt(20.79));
         assertEquals(1, violationsAt(20.81));
     }
 
     @Test
     void nothingIsHeldOnceItWasFetchedReleasedOrFoundMissing() {
-        prefill(Ending.PREFILLED, true);
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
         ledger.firstToken("id");
-        prefill(Ending.PREFILLED, true);
-        ledger.attemptEnded(attempt(true), Outcome.kvCacheMissing(java.util.Map.of()), true, 10.1);
-        assertEquals(Double.POSITIVE_INFINITY, ledger.sendDeadline("id"));
-        prefill(Ending.PREFILLED, true);
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
+        ledger.attemptEnded(attempt(true), Outcome.kvCacheMissing(java.util.Map.of()), AttemptReach.CONFIRMED, 10.1);
+        assertEquals(ArrivalDeadlines.NONE, ledger.arrivalDeadlines("id"));
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
         ledger.releaseBegun("id");
-        assertEquals(Double.POSITIVE_INFINITY, ledger.sendDeadline("id"));
+        assertEquals(ArrivalDeadlines.NONE, ledger.arrivalDeadlines("id"));
         ledger.releaseTaken("id");
         assertEquals(0, violationsAt(20));
     }
@@ -74,9 +108,9 @@
     /** The release may have come to the engine before the prefill that was begun behind it. */
     @Test
     void releaseOfAnEarlierPrefillDoesNotEndALaterOne() {
-        prefill(Ending.PREFILLED, true);
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
         ledger.releaseBegun("id");
-        prefill(Ending.PREFILLED, true);
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
         ledger.releaseTaken("id");
         assertEquals(1, violationsAt(10.81));
     }
--- a/src/test/java/dunlinladder/core/SendGuardTest.java
+++ b/src/test/java/dunlinladder/core/SendGuardTest.java
@@ -74,7 +74,8 @@
         return guard.refusalToSend(attempt(engine, Double.POSITIVE_INFINITY), () -> false);
     }
 
-    private static Attempt attempt(Engine engine, double sendDeadline) {
-        return new Attempt(RequestBuilder.request("id").build(), 0, engine, sendDeadline, sendDeadline, true);
+    private static Attempt attempt(Engine engine, double writtenBy) {
+        ArrivalDeadlines arrival = new ArrivalDeadlines(writtenBy, writtenBy, 0);
+        return new Attempt(RequestBuilder.request("id").build(), 0, engine, Double.POSITIVE_INFINITY, arrival, true);
     }
 }
--- a/src/test/java/dunlinladder/it/SilentEngineTest.java
+++ b/src/test/java/dunlinladder/it/SilentEngineTest.java
@@ -90,7 +90,8 @@
         try (TestClient client = gateway.post(requestId, serviceClass, timeout, "plain")) {
             Await.until(() -> gateway.prefillEngine.requestCount("DELETE", requestId) > 0);
             double held = secondsBetween("POST", "DELETE");
-            assertTrue(held < HELD_SECONDS, "held for " + held + " s");
+            boolean alarm = gateway.hasLogged("event=invariant_violated");
+            assertTrue(held < HELD_SECONDS, "held for " + held + " s, alarm raised: " + alarm);
             assertTrue(client.readHead());
         }
     }
--- a/src/test/java/dunlinladder/transport/engine/AttemptProgressTest.java
+++ b/src/test/java/dunlinladder/transport/engine/AttemptProgressTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dunlinladder.core.ArrivalDeadlines;
 import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Outcome;
 import dunlinladder.core.Outcome.Ending;
@@ -20,7 +21,7 @@
     private AttemptProgress progress(double streamSeconds) {
         return new AttemptProgress(
                 new MonotonicClock(),
-                new AttemptProgress.Deadlines(0, 0, streamSeconds),
+                new AttemptProgress.Deadlines(new ArrivalDeadlines(0, 0, 0), 0, streamSeconds),
                 (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
     }
 
@@ -43,7 +44,7 @@
     void silenceEndsAsFailedConnectionAsTimeoutOrAsResetByPhase() {
         assertTrue(progress(1).endIfTimedOut());
         AttemptProgress sent = progress(1);
-        sent.requestSent();
+        sent.requestWritten();
         assertTrue(sent.endIfTimedOut());
         AttemptProgress streaming = progress(0);
         streaming.eventsArrived(1);
@@ -56,18 +57,39 @@
     @Test
     void attemptThatIsNotOutInTimeEndsAsNeverSentAndOneThatIsMayTakeAsLongAsItsClientWaits() {
         MonotonicClock clock = new MonotonicClock();
-        AttemptProgress.Deadlines deadlines = new AttemptProgress.Deadlines(0, clock.now() + 1000, 1);
+        AttemptProgress.Deadlines deadlines =
+                new AttemptProgress.Deadlines(new ArrivalDeadlines(0, 0, 0), clock.now() + 1000, 1);
         AttemptProgress unsent =
                 new AttemptProgress(clock, deadlines, (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
         assertTrue(unsent.endIfTimedOut());
         assertFalse(unsent.beginWrite());
         AttemptProgress sent =
                 new AttemptProgress(clock, deadlines, (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
-        sent.requestSent();
+        sent.requestWritten();
         assertFalse(sent.endIfTimedOut());
         assertEquals(List.of(Ending.CONNECT_FAILED), endings);
     }
 
+    /** Bytes that were handed to the kernel prove nothing: the engine has until then to show that it read them. */
+    @Test
+    void attemptBecomesOverdueOnceUnlessAByteOfItsAnswerCame() {
+        AttemptProgress unwritten = progress(1);
+        unwritten.connected();
+        assertFalse(unwritten.becameOverdue());
+        AttemptProgress written = progress(1);
+        written.requestWritten();
+        assertTrue(written.becameOverdue());
+        assertFalse(written.becameOverdue());
+        AttemptProgress confirmed = progress(1);
+        confirmed.requestWritten();
+        confirmed.confirmed();
+        assertFalse(confirmed.becameOverdue());
+        AttemptProgress ended = progress(1);
+        ended.requestWritten();
+        ended.endBroken();
+        assertFalse(ended.becameOverdue());
+    }
+
     @Test
     void streamDoesNotTimeOutWhileTheClientHasNotReadWhatCame() {
         AttemptProgress streaming = progress(1000);
