Release a KV cache behind a decode attempt that is not known to have arrived

Cause: an attempt whose last byte was handed to the kernel counted as out, so that nothing was released behind it while its engine was silent: until the deadline (unsafe) or through a chain of attempts (safe). Ruled out by the probe: a release that was lost, a late answer of the prefill, a connect that hangs.

Change: by half of release-within (0.3 of it from the last byte on, 0.85 at most) without a byte of an answer, the driving thread tells the policy, which releases the cache behind the attempt (ConfirmationOverdue). One that arrives later is answered 410, has not run, and goes on in its class and time, not at the engine that was silent. The policy's own clock of the hold runs on through attempts that never arrived.

--- a/src/main/java/dunlinladder/core/AttemptRunner.java
+++ b/src/main/java/dunlinladder/core/AttemptRunner.java
@@ -10,8 +10,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(AttemptRunner.class);
     private static final String ENDED_FORMAT = "event=attempt_ended request={} class={} attempt={} engine={} "
-            + "prefill_only={} engine_age={} reach={} outcome={} seconds={} since_arrival={} first_token={} prompt={} prefix={} "
-            + "cached={}";
+            + "prefill_only={} engine_age={} reach={} outcome={} seconds={} since_arrival={} first_token={} prompt={} "
+            + "prefix={} cached={}";
 
     private final RequestRouter router;
     private final SendGuard guard;
@@ -64,6 +64,7 @@
                     attempt.request().serviceClass(),
                     attempt.number(),
                     attempt.engine().id());
+            router.confirmationOverdue(attempt);
         }
 
         @Override
@@ -133,7 +134,7 @@
         cacheHolds.attemptEnded(attempt, outcome, progress.reach(), endedAt);
         count(outcome);
         logEnded(request, attempt, outcome, new Times(sentAt, endedAt), progress);
-        return conclude(request, attempt, outcome, progress.hasFirstToken());
+        return conclude(request, attempt, outcome, progress);
     }
 
     private Attempt prepare(InFlightRequest request, RoutingDecision.Forward forward) {
@@ -174,16 +175,16 @@
         Outcome outcome = Outcome.of(Outcome.Ending.CONNECT_FAILED);
         count(outcome);
         request.history().recordEnd(outcome, AttemptReach.UNWRITTEN, clock.now());
-        router.attemptEnded(attempt, outcome, disconnected);
+        router.attemptEnded(attempt, outcome, AttemptReach.UNWRITTEN, disconnected);
         return disconnected;
     }
 
     /** Reports an attempt's end and gives the client what follows from it; true when that was all it is owed. */
-    private boolean conclude(InFlightRequest request, Attempt attempt, Outcome outcome, boolean streamBegan) {
+    private boolean conclude(InFlightRequest request, Attempt attempt, Outcome outcome, Progress progress) {
         boolean complete = outcome.ending() == Outcome.Ending.OK;
         boolean rejected = outcome.ending() == Outcome.Ending.REJECTED;
-        boolean last = complete || streamBegan || rejected || request.isDisconnected();
-        router.attemptEnded(attempt, outcome, last);
+        boolean last = complete || progress.hasFirstToken() || rejected || request.isDisconnected();
+        router.attemptEnded(attempt, outcome, progress.reach(), last);
         if (last && !request.isDisconnected()) {
             if (rejected) {
                 request.client().fail(ResponseSink.Failure.REQUEST);
--- a/src/main/java/dunlinladder/core/RequestRouter.java
+++ b/src/main/java/dunlinladder/core/RequestRouter.java
@@ -15,8 +15,18 @@
     /** Reports that the stream of an attempt began. */
     void firstToken(Attempt attempt);
 
-    /** Reports how an attempt ended; {@code last} when nothing is owed to the client any more. */
-    void attemptEnded(Attempt attempt, Outcome outcome, boolean last);
+    /**
+     * Reports that an attempt was written, and may not have arrived, while a KV cache cannot wait for it any longer.
+     */
+    void confirmationOverdue(Attempt attempt);
+
+    /**
+     * Reports how an attempt ended.
+     *
+     * @param reach how far it is known to have come
+     * @param last whether nothing is owed to the client any more
+     */
+    void attemptEnded(Attempt attempt, Outcome outcome, AttemptReach reach, boolean last);
 
     /** Reports that the client of a request disconnected. */
     void clientDisconnected(String id);
--- a/src/main/java/dunlinladder/routing/AttemptState.java
+++ b/src/main/java/dunlinladder/routing/AttemptState.java
@@ -37,6 +37,8 @@
     double streamWeight;
     /** Tokens of KV cache that its stream may hold. */
     double kvTokens;
+    /** Whether the KV cache was released while it was in flight, as it may not have arrived. */
+    boolean releasedBehind;
     /** Clock time of the first token, in seconds; NaN before it. */
     double firstTokenAt = Double.NaN;
 
--- a/src/main/java/dunlinladder/routing/BlockingRequestRouter.java
+++ b/src/main/java/dunlinladder/routing/BlockingRequestRouter.java
@@ -1,6 +1,7 @@
 package dunlinladder.routing;
 
 import dunlinladder.core.Attempt;
+import dunlinladder.core.AttemptReach;
 import dunlinladder.core.Counter;
 import dunlinladder.core.Counters;
 import dunlinladder.core.Engine;
@@ -230,7 +231,17 @@
     }
 
     @Override
-    public void attemptEnded(Attempt attempt, Outcome outcome, boolean last) {
+    public void confirmationOverdue(Attempt attempt) {
+        lock.lock();
+        try {
+            handle(new RoutingEvent.ConfirmationOverdue(attempt.request().id(), attempt.number()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    @Override
+    public void attemptEnded(Attempt attempt, Outcome outcome, AttemptReach reach, boolean last) {
         String id = attempt.request().id();
         lock.lock();
         try {
@@ -243,7 +254,8 @@
                     secondsSinceDecision(pending),
                     last,
                     outcome.note(),
-                    outcome.report()));
+                    outcome.report(),
+                    reach == AttemptReach.CONFIRMED));
         } finally {
             lock.unlock();
         }
--- a/src/main/java/dunlinladder/routing/RequestState.java
+++ b/src/main/java/dunlinladder/routing/RequestState.java
@@ -30,6 +30,8 @@
     boolean overQuota;
     /** The first attempt that may have run. */
     Optional<PossibleRun> possibleRun = Optional.empty();
+    /** Engines at which an attempt was not known to have arrived in time. */
+    final Set<EngineState> unconfirmedEngines = new LinkedHashSet<>();
     /** Engines that have failed it at this stage. */
     final Set<EngineState> attemptedEngines = new LinkedHashSet<>();
 
--- a/src/main/java/dunlinladder/routing/RetryPolicy.java
+++ b/src/main/java/dunlinladder/routing/RetryPolicy.java
@@ -2,7 +2,6 @@
 
 import dunlinladder.routing.AttemptState.Stage;
 import dunlinladder.routing.RequestState.PossibleRun;
-import dunlinladder.routing.RoutingEvent.Status;
 import dunlinladder.routing.RoutingSettings.Effect;
 import dunlinladder.routing.RoutingSettings.Group;
 
@@ -94,11 +93,11 @@
 
     /**
      * An attempt has ended: whether the KV cache has to be released instead of used once more. Its time begins anew,
-     * but not with a decode engine that could not be reached: on sockets it runs on while connections fail to come up.
+     * but not with a decode engine that is not known to have been reached: on sockets it runs on until a send arrives.
      */
-    boolean cacheWaitExceeded(AttemptState attempt, Status status) {
+    boolean cacheWaitExceeded(AttemptState attempt, RoutingEvent.AttemptEnded event) {
         RequestState request = attempt.request;
-        boolean unreached = attempt.stage == Stage.DECODE && status == Status.CONNECT_FAILED;
+        boolean unreached = attempt.stage == Stage.DECODE && !event.arrived();
         request.cacheWaitsSince = unreached ? request.cacheWaitsSince : context.now;
         return cacheWaitSeconds(request) > context.settings.rules().releaseWithin() * MAX_UNREACHED_FRACTION;
     }
--- a/src/main/java/dunlinladder/routing/RoutingEvent.java
+++ b/src/main/java/dunlinladder/routing/RoutingEvent.java
@@ -96,6 +96,12 @@
      */
     record FirstTokenReceived(String id, int attempt, String engine, double elapsed) implements RoutingEvent {}
 
+    /**
+     * An attempt was written, and nothing shows that it has arrived, while the KV cache that waits for it cannot wait
+     * any longer. Only sockets bring this about: the simulator's sends arrive.
+     */
+    record ConfirmationOverdue(String id, int attempt) implements RoutingEvent {}
+
     /**
      * An attempt has ended.
      *
@@ -103,6 +109,7 @@
      * @param closed whether the client is owed nothing any more
      * @param note prompt tokens found cached; with {@code FULL} 1 when the engine could not get the KV cache
      * @param report the engine's load report by name; may be empty
+     * @param arrived whether it is known to have reached the engine's process
      */
     record AttemptEnded(
             String id,
@@ -112,8 +119,23 @@
             double elapsed,
             boolean closed,
             double note,
-            Map<String, Double> report)
-            implements RoutingEvent {}
+            Map<String, Double> report,
+            boolean arrived)
+            implements RoutingEvent {
+
+        /** An attempt that has arrived, unless its status says that no connection came up. */
+        public AttemptEnded(
+                String id,
+                int attempt,
+                String engine,
+                Status status,
+                double elapsed,
+                boolean closed,
+                double note,
+                Map<String, Double> report) {
+            this(id, attempt, engine, status, elapsed, closed, note, report, status != Status.CONNECT_FAILED);
+        }
+    }
 
     /** The client has disconnected; it is owed nothing any more. */
     record ClientDisconnected(String id) implements RoutingEvent {}
--- a/src/main/java/dunlinladder/routing/RoutingPolicy.java
+++ b/src/main/java/dunlinladder/routing/RoutingPolicy.java
@@ -64,6 +64,8 @@
             attempt(received.id(), received.attempt())
                     .filter(attempt -> !attempt.hasFirstToken())
                     .ifPresent(attempt -> firstTokenReceived(attempt, received));
+        } else if (event instanceof RoutingEvent.ConfirmationOverdue overdue) {
+            attempt(overdue.id(), overdue.attempt()).ifPresent(this::releaseBehind);
         } else if (event instanceof RoutingEvent.AttemptEnded ended) {
             attempt(ended.id(), ended.attempt()).ifPresent(attempt -> attemptEnded(attempt, ended));
         } else if (event instanceof RoutingEvent.ClientDisconnected disconnected) {
@@ -194,13 +196,16 @@
     /** The next step of a request that is still owed its answer. */
     private void goOn(AttemptState attempt, RoutingEvent.AttemptEnded event) {
         RequestState request = attempt.request;
-        boolean late = retries.cacheWaitExceeded(attempt, event.status());
+        boolean late = retries.cacheWaitExceeded(attempt, event);
         boolean cacheIsLost = event.status() == RoutingEvent.Status.FULL && event.note() == 1;
         if (event.status() == RoutingEvent.Status.PREFILLED) {
             request.cacheEngine = attempt.engine;
             request.attemptedEngines.clear();
-        } else if (attempt.stage == Stage.DECODE && (cacheIsLost || late)) {
-            // Rule 5: a cut-off prefill engine still holds what the decode engine cannot reach.
+            request.attemptedEngines.addAll(request.unconfirmedEngines);
+        } else if (attempt.stage == Stage.DECODE && (cacheIsLost || late || attempt.releasedBehind)) {
+            // Rule 5: a cut-off prefill engine still holds what the decode engine cannot reach. An attempt that had
+            // arrived before the release behind it has kept the KV cache from that one.
+            request.cacheMayRemain |= attempt.releasedBehind && !cacheIsLost;
             release(request);
         } else if (event.status() == RoutingEvent.Status.NOT_SENT) {
             finish(request);
@@ -232,6 +237,15 @@
         }
     }
 
+    /** Rule 5: a decode attempt that has not arrived leaves the KV cache held; one that has keeps it all the same. */
+    private void releaseBehind(AttemptState attempt) {
+        if (attempt.stage == Stage.DECODE && !attempt.hasFirstToken() && !attempt.request.ended) {
+            attempt.releasedBehind = true;
+            attempt.request.unconfirmedEngines.add(attempt.engine);
+            release(attempt.request);
+        }
+    }
+
     /** Rule 5: whatever ends a request, nothing stays held for it; late outcomes release once more. */
     private void end(RequestState request) {
         request.ended = true;
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -65,7 +65,12 @@
         }
 
         @Override
-        public void attemptEnded(Attempt attempt, Outcome outcome, boolean last) {
+        public void confirmationOverdue(Attempt attempt) {
+            // Not asked for here.
+        }
+
+        @Override
+        public void attemptEnded(Attempt attempt, Outcome outcome, AttemptReach reach, boolean last) {
             reportedEndings.add(outcome.ending());
         }
 
--- a/src/test/java/dunlinladder/routing/Fleet.java
+++ b/src/test/java/dunlinladder/routing/Fleet.java
@@ -271,6 +271,24 @@
                 Map.of()));
     }
 
+    void confirmationOverdue(String id) {
+        handle(new RoutingEvent.ConfirmationOverdue(id, attempts.get(id) - 1));
+    }
+
+    /** Ends an attempt of which it is not known whether it has reached its engine. */
+    void notArrived(String id, Status status) {
+        handle(new RoutingEvent.AttemptEnded(
+                id,
+                attempts.get(id) - 1,
+                latest.get(id).engine(),
+                status,
+                now - sentAt.get(id),
+                false,
+                0,
+                Map.of(),
+                false));
+    }
+
     /** Ends an attempt for good with a load report. */
     void reported(String id, Status status, Map<String, Double> report) {
         handle(new RoutingEvent.AttemptEnded(
--- a/src/test/java/dunlinladder/routing/RequestLifeCycleTest.java
+++ b/src/test/java/dunlinladder/routing/RequestLifeCycleTest.java
@@ -123,6 +123,64 @@
         assertEquals(1, fleet.releases("a"));
     }
 
+    /** The attempt may have arrived before the release, and has kept the KV cache then: its end releases once more. */
+    @Test
+    void cacheIsReleasedBehindADecodeAttemptThatMayNotHaveArrivedAndAtItsEnd() {
+        Fleet fleet = Fleet.pair();
+        fleet.arrive("a");
+        fleet.outcome("a", Status.PREFILLED);
+        String silent = fleet.lastSend().engine();
+        fleet.confirmationOverdue("a");
+        assertEquals(1, fleet.releases("a"));
+        fleet.outcome("a", Status.TIMEOUT);
+        assertEquals(2, fleet.releases("a"));
+        assertTrue(fleet.lastSend().engine().startsWith("r"), "the KV cache is gone, so it is prefilled again");
+        fleet.outcome("a", Status.PREFILLED);
+        assertFalse(silent.equals(fleet.lastSend().engine()));
+    }
+
+    @Test
+    void cacheIsNotReleasedBehindAPrefillOrAStream() {
+        Fleet fleet = Fleet.pair();
+        fleet.arrive("a");
+        fleet.confirmationOverdue("a");
+        fleet.outcome("a", Status.PREFILLED);
+        fleet.first("a");
+        fleet.confirmationOverdue("a");
+        assertEquals(0, fleet.releases("a"));
+    }
+
+    /** What arrives behind the release finds nothing to fetch: it has not run, and an unsafe request may go on. */
+    @Test
+    void unsafeRequestGoesOnWhenItArrivesBehindItsRelease() {
+        Fleet fleet = Fleet.pair().type(Effect.UNSAFE, Group.ALL);
+        fleet.arrive("a");
+        fleet.outcome("a", Status.PREFILLED);
+        fleet.confirmationOverdue("a");
+        int sends = fleet.sends();
+        fleet.run(2);
+        assertEquals(sends, fleet.sends(), "it may still run where it was sent");
+        fleet.outcome("a", Status.FULL, 1, false);
+        assertEquals(1, fleet.releases("a"));
+        assertTrue(fleet.lastSend().engine().startsWith("r"));
+        fleet.serve("a");
+        assertEquals(0, fleet.finals("a"));
+    }
+
+    /** Attempts that never arrived do not begin the time of the KV cache anew. */
+    @Test
+    void timeOfTheCacheRunsOnThroughAttemptsThatDidNotArrive() {
+        Fleet fleet = Fleet.pair();
+        fleet.arrive("a");
+        fleet.outcome("a", Status.PREFILLED);
+        fleet.run(0.2);
+        fleet.notArrived("a", Status.TIMEOUT);
+        assertEquals(0, fleet.releases("a"));
+        fleet.run(0.25);
+        fleet.notArrived("a", Status.RESET);
+        assertEquals(1, fleet.releases("a"));
+    }
+
     /** A link is cut after the read: the reader holds a state that nobody was told of. */
     @Test
     void cacheOfALostPrefillIsReleasedInTime() {
