The process ends 0.25 s before the earliest SIGKILL, by a schedule from the settings

Need: with short deadlines or silent engines the process was still there at the earliest SIGKILL, as the drain was 0.6 s whatever the deadlines, and nothing bounded the wait for hanging requests and releases. Change: LimitsReader counts drain, final answers and exit back from the longest deadline (3 s at most) and 0.7 s. At its time each request without a stream gets its answer, a rejection only where nothing can have run. The event of an attempt's end is built with all its figures (lint).

--- a/src/main/java/dunlinladder/core/Counter.java
+++ b/src/main/java/dunlinladder/core/Counter.java
@@ -10,6 +10,8 @@
     REQUESTS_REJECTED,
     /** Requests that were answered as failed. */
     REQUESTS_FAILED,
+    /** Requests that were answered before their deadline, as the process ended. */
+    REQUESTS_EXPIRED,
     /** Requests whose client left before the answer. */
     CLIENTS_GONE,
     /** Attempts that were handed to the transport. */
--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -91,6 +91,19 @@
         }
     }
 
+    /**
+     * Gives all requests without a stream their final answer now, as the process ends before their deadlines; may be
+     * called again for those that have arrived meanwhile.
+     */
+    public void expireRequests() {
+        inFlight.forEach((id, request) -> {
+            if (!request.isExpired() && request.expire()) {
+                counters.increment(Counter.REQUESTS_EXPIRED);
+                router.clientDisconnected(id);
+            }
+        });
+    }
+
     private void drive(InFlightRequest request) {
         boolean interrupted = false;
         try {
@@ -135,10 +148,22 @@
             counters.increment(Counter.REQUESTS_FAILED);
             logFinalAnswer("request_failed", request);
             request.client().fail(failure(request.history()));
+        } else if (request.isExpired()) {
+            answerExpired(request);
         }
         return true;
     }
 
+    /** The process ends before the client's deadline: a rejection where nothing can have run, else a failure. */
+    private void answerExpired(InFlightRequest request) {
+        logFinalAnswer("request_expired", request);
+        if (guard.allowsRejection(request.request(), request.history())) {
+            request.client().reject(RoutingDecision.NO_ADVICE);
+        } else {
+            request.client().fail(ResponseSink.Failure.TIMEOUT);
+        }
+    }
+
     /**
      * A rejection promises that a retry is harmless. It is given here alone, and only where the facts of all attempts
      * bear it out: else the request has failed, whatever the policy made of it.
--- a/src/main/java/dunlinladder/core/EngineTransport.java
+++ b/src/main/java/dunlinladder/core/EngineTransport.java
@@ -23,5 +23,8 @@
 
         /** Cancels the attempt; {@link #await} then returns soon. No effect on one that has ended. */
         void abandon();
+
+        /** Cancels the attempt unless its stream has begun; whether no stream has. */
+        boolean abandonUnlessStreaming();
     }
 }
--- a/src/main/java/dunlinladder/core/InFlightRequest.java
+++ b/src/main/java/dunlinladder/core/InFlightRequest.java
@@ -3,9 +3,9 @@
 /**
  * Bookkeeping of one request from its acceptance to its final answer.
  *
- * <p>The lock of this object guards {@code call} and {@code disconnected}: the driving thread sends and the thread that
- * serves the client's connection reports that it closed, in any order, and the attempt in flight must be abandoned in
- * either. The {@linkplain #history() history} belongs to the driving thread alone.
+ * <p>The lock of this object guards {@code call}, {@code disconnected} and {@code expired}: the driving thread sends
+ * and the thread that serves the client's connection reports that it closed, in any order, and the attempt in flight
+ * must be abandoned in either. The {@linkplain #history() history} belongs to the driving thread alone.
  */
 final class InFlightRequest {
 
@@ -18,6 +18,7 @@
     private EngineTransport.Call call;
 
     private boolean disconnected;
+    private boolean expired;
 
     /** Creates it for a request that was accepted at clock time {@code acceptedAt}, in seconds. */
     InFlightRequest(Request request, ResponseSink client, double acceptedAt) {
@@ -47,7 +48,7 @@
     /** An attempt was begun; it is abandoned at once where the client has left meanwhile. */
     synchronized void begun(EngineTransport.Call started) {
         call = started;
-        if (disconnected) {
+        if (disconnected || expired) {
             started.abandon();
         }
     }
@@ -60,6 +61,26 @@
         }
     }
 
+    /**
+     * The process ends before the client's deadline: abandons the attempt in flight, and any that begins from now on.
+     *
+     * @return false, and nothing done, where a stream has begun
+     */
+    synchronized boolean expire() {
+        expired = call == null || call.abandonUnlessStreaming();
+        return expired;
+    }
+
+    /** Whether it was ended before the client's deadline, as the process ends. */
+    synchronized boolean isExpired() {
+        return expired;
+    }
+
+    /** Whether nothing more is to be sent for it. */
+    synchronized boolean isOver() {
+        return disconnected || expired;
+    }
+
     /** Whether the client has left. */
     synchronized boolean isDisconnected() {
         return disconnected;
--- a/src/main/java/dunlinladder/core/Limits.java
+++ b/src/main/java/dunlinladder/core/Limits.java
@@ -154,15 +154,32 @@
      *
      * @param schedulingLagCheckSeconds between two measurements of this process's scheduling lag
      * @param maxSchedulingLagSeconds scheduling lag over which new requests wait
-     * @param drainSeconds from SIGTERM until no new connection is accepted
+     * @param shutdown what has to be done when, from SIGTERM on
      */
-    public record ProcessTimes(double schedulingLagCheckSeconds, double maxSchedulingLagSeconds, double drainSeconds) {
+    public record ProcessTimes(
+            double schedulingLagCheckSeconds, double maxSchedulingLagSeconds, ShutdownTimes shutdown) {
 
         /** Checks the values. */
         public ProcessTimes {
             requireNotNegative(schedulingLagCheckSeconds, "schedulingLagCheckSeconds");
             requireNotNegative(maxSchedulingLagSeconds, "maxSchedulingLagSeconds");
+        }
+    }
+
+    /**
+     * The end of the process, in seconds from SIGTERM on.
+     *
+     * @param drainSeconds until no new connection is accepted
+     * @param finalAnswerSeconds until every request without a stream has its final answer
+     * @param exitSeconds until the process ends, whatever hangs; only answers on their way to clients keep it
+     */
+    public record ShutdownTimes(double drainSeconds, double finalAnswerSeconds, double exitSeconds) {
+
+        /** Checks the values. */
+        public ShutdownTimes {
             requireNotNegative(drainSeconds, "drainSeconds");
+            requireNotNegative(finalAnswerSeconds, "finalAnswerSeconds");
+            requireNotNegative(exitSeconds, "exitSeconds");
         }
     }
 
@@ -298,7 +315,7 @@
     }
 
     /** See {@link ProcessTimes}. */
-    public double drainSeconds() {
-        return process.drainSeconds();
+    public ShutdownTimes shutdown() {
+        return process.shutdown();
     }
 }
--- a/src/main/java/dunlinladder/lifecycle/Gateway.java
+++ b/src/main/java/dunlinladder/lifecycle/Gateway.java
@@ -192,7 +192,8 @@
 
     /**
      * Stops in order: the front is asked to send clients elsewhere, nothing new is accepted, what was accepted is
-     * finished, and the connections are closed. A start in progress is waited for.
+     * finished, and the connections are closed, each in the time that {@link Limits.ShutdownTimes} gives. A start in
+     * progress is waited for.
      *
      * @return false, and nothing done, where the gateway is not running
      */
@@ -201,10 +202,11 @@
             return false;
         }
         LOG.info("event=stopping requests={}", parts.dispatcher().activeRequests());
+        long stoppingSince = System.nanoTime();
         drain();
         stopAccepting();
-        finishRequests();
-        awaitClientConnections();
+        finishRequests(stoppingSince);
+        awaitClientConnections(stoppingSince);
         parts.fronts().forEach(HttpListener::close);
         state = LifecycleState.CLOSED;
         countersLog.logAnyway();
@@ -215,7 +217,7 @@
     /** Only {@code /up} says no at first, as connections keep coming until the front has seen it. */
     private void drain() throws InterruptedException {
         state = LifecycleState.DRAINING;
-        Thread.sleep((long) (limits.drainSeconds() * MILLIS_PER_SECOND));
+        Thread.sleep((long) (limits.shutdown().drainSeconds() * MILLIS_PER_SECOND));
     }
 
     private void stopAccepting() throws InterruptedException {
@@ -225,22 +227,45 @@
         }
     }
 
-    /** Releases are waited for as well: engines hold a KV cache until a release of it has arrived. */
-    private void finishRequests() throws InterruptedException {
+    /**
+     * Releases are waited for as well: engines hold a KV cache until a release of it has arrived. At their time the
+     * requests without a stream are answered, whatever hangs; a stream lasts as long as its engine writes it.
+     */
+    private void finishRequests(long stoppingSince) throws InterruptedException {
         while (parts.dispatcher().activeRequests() > 0 || parts.engineClient().openReleases() > 0) {
             closeIdleConnections();
+            if (isPast(stoppingSince, limits.shutdown().finalAnswerSeconds())) {
+                parts.dispatcher().expireRequests();
+            }
+            if (isPast(stoppingSince, limits.shutdown().exitSeconds())
+                    && parts.dispatcher().activeRequests() == 0) {
+                LOG.warn(
+                        "event=releases_given_up releases={}",
+                        parts.engineClient().openReleases());
+                return;
+            }
             Thread.sleep(STOP_POLL_MILLIS);
         }
     }
 
-    /** Requests still on their way in and answers on their way out each have a bound of their own below this one. */
-    private void awaitClientConnections() throws InterruptedException {
-        long deadlineNanos = System.nanoTime() + (long) (limits.stallSeconds() * NANOS_PER_SECOND);
-        while (!closeIdleConnections() && System.nanoTime() < deadlineNanos) {
+    /**
+     * Connections that only send a request are closed at their time, those that take an answer may stall for a bound.
+     */
+    private void awaitClientConnections(long stoppingSince) throws InterruptedException {
+        while (!closeIdleConnections()) {
+            boolean late = isPast(stoppingSince, limits.shutdown().exitSeconds());
+            boolean stalled = isPast(stoppingSince, limits.shutdown().exitSeconds() + limits.stallSeconds());
+            if (stalled || late && parts.fronts().stream().noneMatch(HttpListener::isAnswering)) {
+                return;
+            }
             Thread.sleep(STOP_POLL_MILLIS);
         }
     }
 
+    private static boolean isPast(long sinceNanos, double seconds) {
+        return System.nanoTime() - sinceNanos > seconds * NANOS_PER_SECOND;
+    }
+
     /** Closes the clients' connections without a request; true when no connection is left. */
     private boolean closeIdleConnections() {
         boolean noneLeft = true;
--- a/src/main/java/dunlinladder/lifecycle/GatewayConfigReader.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayConfigReader.java
@@ -76,13 +76,15 @@
         JsonObject settings = file.child("settings");
         RoutingSettings routing = SettingsReader.read(settings);
         warnOfUnknownSettings(settings);
-        Limits limits = LimitsReader.read(file.childOrEmpty("limits"), settings.childOrEmpty("caps"), routing);
+        List<Double> deadlines = deadlines(settings);
+        Limits limits =
+                LimitsReader.read(file.childOrEmpty("limits"), settings.childOrEmpty("caps"), routing, deadlines);
         return new GatewayConfig(
                 identity(file, environment),
                 parseAddress(environment.getOrDefault(LISTEN_VARIABLE, file.text("listen", null)), "listen"),
                 discovery(file, environment, routing),
                 names(settings),
-                deadlines(settings),
+                deadlines,
                 routing,
                 limits);
     }
--- a/src/main/java/dunlinladder/lifecycle/LimitsReader.java
+++ b/src/main/java/dunlinladder/lifecycle/LimitsReader.java
@@ -3,6 +3,7 @@
 import dunlinladder.core.Limits;
 import dunlinladder.routing.RoutingSettings;
 import dunlinladder.transport.json.JsonObject;
+import java.util.List;
 
 /**
  * Fills in the gateway's {@link Limits}: from what the configuration says of the process and of connections, else from
@@ -49,7 +50,16 @@
     private static final double EVICT_SECONDS = 0.1;
     private static final double DEFAULT_RETRY_AFTER_SECONDS = 1;
     private static final double LAG_CHECK_SECONDS = 0.05;
-    private static final double DRAIN_SECONDS = 0.6;
+    /** From SIGTERM on new connections keep coming for 0.4 s at most; a little later none is accepted any more. */
+    private static final double DRAIN_SECONDS = 0.45;
+    /** SIGKILL comes no sooner behind SIGTERM than the longest deadline, which counts as this where it is longer. */
+    private static final double MAX_KILL_DEADLINE_SECONDS = 3;
+    /** And so much later. */
+    private static final double KILL_GRACE_SECONDS = 0.7;
+    /** Before the earliest SIGKILL: the process has ended, with room for one that is held up. */
+    private static final double EXIT_MARGIN_SECONDS = 0.25;
+    /** Before the end of the process: the last answers are written, the last releases are taken. */
+    private static final double FINAL_ANSWER_MARGIN_SECONDS = 0.1;
     /** Wait for a release that is allowed where the settings have no rule on it; see {@link #maxLagSeconds}. */
     private static final double DEFAULT_RELEASE_WAIT_SECONDS = 0.5;
     /** Hearing of a held state, choosing, sending and a margin share the wait for its release equally. */
@@ -63,8 +73,9 @@
      * @param process what the process may use: {@code sockets}, {@code memory_mb}
      * @param caps the platform's caps: {@code most-held}, {@code keepalive}, {@code connect-timeout}
      * @param routing the settings of the routing policy
+     * @param deadlines of the service classes
      */
-    static Limits read(JsonObject process, JsonObject caps, RoutingSettings routing) {
+    static Limits read(JsonObject process, JsonObject caps, RoutingSettings routing, List<Double> deadlines) {
         return new Limits(
                 new Limits.MessageLimits(
                         MAX_HEAD_BYTES,
@@ -81,7 +92,7 @@
                         STALL_SECONDS,
                         EVICT_SECONDS,
                         routing.maxRetryAfter() > 0 ? routing.maxRetryAfter() : DEFAULT_RETRY_AFTER_SECONDS),
-                new Limits.ProcessTimes(LAG_CHECK_SECONDS, maxLagSeconds(routing), DRAIN_SECONDS));
+                new Limits.ProcessTimes(LAG_CHECK_SECONDS, maxLagSeconds(routing), shutdownTimes(deadlines)));
     }
 
     /** Clients and engines get half of the connections each; requests are bounded by the memory as well. */
@@ -106,6 +117,15 @@
                 REUSE_SUSPENSION_SECONDS);
     }
 
+    /** The protocol page gives the time of the earliest SIGKILL; all else is counted back from it. */
+    static Limits.ShutdownTimes shutdownTimes(List<Double> deadlines) {
+        double longest =
+                deadlines.stream().mapToDouble(Double::doubleValue).max().orElse(MAX_KILL_DEADLINE_SECONDS);
+        double exit = Math.min(longest, MAX_KILL_DEADLINE_SECONDS) + KILL_GRACE_SECONDS - EXIT_MARGIN_SECONDS;
+        double finalAnswer = exit - FINAL_ANSWER_MARGIN_SECONDS;
+        return new Limits.ShutdownTimes(Math.min(DRAIN_SECONDS, finalAnswer), finalAnswer, exit);
+    }
+
     /** How far this process may be behind; where no KV cache is held for a decode engine, as if the default held. */
     private static double maxLagSeconds(RoutingSettings routing) {
         double releaseWaitSeconds = routing.rules().releaseWithin();
--- a/src/main/java/dunlinladder/routing/BlockingRequestRouter.java
+++ b/src/main/java/dunlinladder/routing/BlockingRequestRouter.java
@@ -153,7 +153,8 @@
                         0,
                         true,
                         0,
-                        Map.of())));
+                        Map.of(),
+                        false)));
         if (!(decision instanceof RoutingDecision.Forward)) {
             pendingRequests.remove(id);
         }
--- a/src/main/java/dunlinladder/routing/RoutingEvent.java
+++ b/src/main/java/dunlinladder/routing/RoutingEvent.java
@@ -26,6 +26,11 @@
         public boolean neverRan() {
             return this == FULL || this == CONNECT_FAILED || this == NOT_SENT || this == PREFILLED;
         }
+
+        /** Whether the attempt can have reached its engine. */
+        public boolean mayHaveArrived() {
+            return this != CONNECT_FAILED;
+        }
     }
 
     /** What discovery says of an engine; a {@code LEAVING} one drains and gets nothing new. */
@@ -121,21 +126,7 @@
             double note,
             Map<String, Double> report,
             boolean arrived)
-            implements RoutingEvent {
-
-        /** An attempt that has arrived, unless its status says that no connection came up. */
-        public AttemptEnded(
-                String id,
-                int attempt,
-                String engine,
-                Status status,
-                double elapsed,
-                boolean closed,
-                double note,
-                Map<String, Double> report) {
-            this(id, attempt, engine, status, elapsed, closed, note, report, status != Status.CONNECT_FAILED);
-        }
-    }
+            implements RoutingEvent {}
 
     /** The client has disconnected; it is owed nothing any more. */
     record ClientDisconnected(String id) implements RoutingEvent {}
--- a/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
+++ b/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
@@ -158,6 +158,15 @@
         ended.countDown();
     }
 
+    /** Sets the outcome, unless there is one or the stream has begun; whether no stream has. */
+    synchronized boolean endUnlessStreaming(Outcome result) {
+        if (phase == AttemptPhase.STREAMING) {
+            return false;
+        }
+        end(result);
+        return true;
+    }
+
     /** The connection broke or never came up. */
     synchronized void endBroken() {
         end(Outcome.of(phase.endingWhenBroken()));
--- a/src/main/java/dunlinladder/transport/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCall.java
@@ -98,6 +98,15 @@
         closeConnection();
     }
 
+    @Override
+    public boolean abandonUnlessStreaming() {
+        boolean withoutStream = progress.endUnlessStreaming(Outcome.of(Ending.CANCELLED));
+        if (withoutStream) {
+            closeConnection();
+        }
+        return withoutStream;
+    }
+
     private void reportOutcome(Outcome outcome, double firstTokenSeconds) {
         requestFactory.attemptEnded(attempt.engine(), outcome, responseHead.status(), firstTokenSeconds);
     }
--- a/src/main/java/dunlinladder/transport/http/ClientConnection.java
+++ b/src/main/java/dunlinladder/transport/http/ClientConnection.java
@@ -267,6 +267,12 @@
         }
     }
 
+    /** Whether its request was taken and the answer has not been written in full. */
+    boolean isAnswering() {
+        ServerExchange exchange = openExchange;
+        return exchange != null && exchange.isTaken();
+    }
+
     /**
      * Ends it at the program's end: at once where it is idle, with its answer where a request is open, as the head of
      * that answer may have gone out before without telling the client. A head of which a part has come is waited for;
--- a/src/main/java/dunlinladder/transport/http/HttpListener.java
+++ b/src/main/java/dunlinladder/transport/http/HttpListener.java
@@ -215,6 +215,11 @@
         return handedOver.get() == 0 && connections.isEmpty();
     }
 
+    /** Whether a request was taken whose answer has not been written in full. */
+    public boolean isAnswering() {
+        return connections.values().stream().anyMatch(ClientConnection::isAnswering);
+    }
+
     /** Closes all connections at once. */
     @Override
     public void close() {
--- a/src/main/java/dunlinladder/transport/http/ServerExchange.java
+++ b/src/main/java/dunlinladder/transport/http/ServerExchange.java
@@ -98,6 +98,11 @@
         return body.expire();
     }
 
+    /** Whether the request is here in full. */
+    final boolean isTaken() {
+        return requestId != null;
+    }
+
     /** Whether the client has taken nothing of its answer for so long. */
     final boolean isStalled(double seconds) {
         return writer.isStalled(seconds);
--- a/src/main/java/dunlinladder/transport/simulator/SimulatorCodec.java
+++ b/src/main/java/dunlinladder/transport/simulator/SimulatorCodec.java
@@ -84,15 +84,17 @@
                 report.put(name, stats.number(name, 0));
             }
         }
+        RoutingEvent.Status status = status((int) body.integer("outcome"));
         return new RoutingEvent.AttemptEnded(
                 body.text("id"),
                 (int) body.integer("go"),
                 body.text("worker"),
-                status((int) body.integer("outcome")),
+                status,
                 body.number("cost-time", 0),
                 body.flag("last"),
                 body.number("note", 0),
-                report);
+                report,
+                status.mayHaveArrived());
     }
 
     private static RoutingEvent.Status status(int code) {
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -100,6 +100,11 @@
                 public void abandon() {
                     // Not asked for here.
                 }
+
+                @Override
+                public boolean abandonUnlessStreaming() {
+                    return true;
+                }
             };
         }
 
--- a/src/test/java/dunlinladder/core/LimitsBuilder.java
+++ b/src/test/java/dunlinladder/core/LimitsBuilder.java
@@ -35,6 +35,6 @@
                 new Limits.AttemptTimes(0.02, 0.04, 4),
                 new Limits.ReleaseLimits(releaseSeconds, 4),
                 new Limits.ClientTimes(2.5, 10, 0.1, 1),
-                new Limits.ProcessTimes(0.05, 0.25, 0.6));
+                new Limits.ProcessTimes(0.05, 0.25, new Limits.ShutdownTimes(0.45, 3.35, 3.45)));
     }
 }
--- a/src/test/java/dunlinladder/it/RunningGateway.java
+++ b/src/test/java/dunlinladder/it/RunningGateway.java
@@ -61,6 +61,7 @@
     private final List<String> decodeAddresses;
 
     private final Path configuration;
+    private final long enginesStartedMillis;
     private final int descriptorLimit;
 
     /** What a gateway is started with; the default is the platform front alone before engines of its own. */
@@ -72,6 +73,8 @@
         private RunningGateway stubOwner;
         private int descriptorLimit = DEFAULT_DESCRIPTOR_LIMIT;
         private List<String> decodeAddresses = List.of();
+        private String settings = SETTINGS;
+        private long enginesStartedMillis;
 
         private Builder() {}
 
@@ -87,6 +90,18 @@
             return this;
         }
 
+        /** Has the configuration state this start of all engines, in Unix time. */
+        Builder enginesStartedAt(long unixMillis) {
+            enginesStartedMillis = unixMillis;
+            return this;
+        }
+
+        /** Has the configuration hold these settings. */
+        Builder settings(String text) {
+            settings = text;
+            return this;
+        }
+
         /** Serves the chat front by this applied state, to clients with the key "secret". */
         Builder chatFront(Path state) {
             appliedState = state;
@@ -136,8 +151,9 @@
                 ? decodeEngines.stream().map(StubServer::address).toList()
                 : options.decodeAddresses;
         descriptorLimit = options.descriptorLimit;
+        enginesStartedMillis = options.enginesStartedMillis;
         configuration = Files.createTempFile("gateway", ".json");
-        configure(discovery.address(), SETTINGS);
+        configure(discovery.address(), options.settings);
         process = startProcess(options);
         BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream()));
         port = awaitPort(log, " front=platform ");
@@ -186,7 +202,8 @@
                 configuration,
                 "{\"discovery\":\"" + discoveryAddress + "\","
                         + "\"name\":\"n0\",\"seed\":\"8c1f30d27a5be964\",\"known\":{\"seq\":1,"
-                        + "\"whole\":true,\"hosts\":[" + String.join(",", endpoints)
+                        + "\"whole\":true,\"hosts\":["
+                        + String.join(",", endpoints).replace("\"born_ms\":0", "\"born_ms\":" + enginesStartedMillis)
                         + "]},\"limits\":{\"sockets\":" + descriptorLimit + "},\"settings\":" + settings + "}");
     }
 
--- /dev/null
+++ b/src/test/java/dunlinladder/it/ShutdownTest.java
@@ -0,0 +1,119 @@
+package dunlinladder.it;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The process ends before the earliest SIGKILL that the protocol page allows, and loses nothing that it has taken. */
+@Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class ShutdownTest {
+
+    /** The page: SIGKILL comes no sooner behind SIGTERM than the longest deadline and so much. */
+    private static final double KILL_GRACE_SECONDS = 0.7;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+    /** Past the time at which a process without a stream has ended. */
+    private static final int EXIT_MILLIS = 1200;
+
+    private static final int CLIENTS = 4;
+    private static final int SIGNALS = 6;
+
+    private final Map<String, Integer> statuses = new ConcurrentHashMap<>();
+
+    private static String settings(String deadline) {
+        return RunningGateway.SETTINGS
+                .replace("\"deadline\":4.0", "\"deadline\":" + deadline)
+                .replace("\"deadline\":10.0", "\"deadline\":" + deadline);
+    }
+
+    /** Clients go on with the connections that they have, and the signal comes again and again. */
+    @ParameterizedTest
+    @CsvSource({"0.2, plain", "0.4, plain", "0.8, hang-decode", "0.8, hang-prefill"})
+    void endsInTimeAndAnswersAllThatReachedAnEngine(String deadline, String body) throws Exception {
+        try (RunningGateway gateway =
+                RunningGateway.builder().settings(settings(deadline)).start()) {
+            PlatformGatewayFixture.lookupStatus(gateway);
+            List<Future<?>> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                FutureTask<Void> client = new FutureTask<>(() -> askUntilTheEnd(gateway, deadline, body), null);
+                Thread thread = new Thread(client, "client");
+                thread.setDaemon(true);
+                thread.start();
+                clients.add(client);
+            }
+            Await.until(() -> gateway.prefillEngine.requestCount("POST", body) >= CLIENTS);
+            long terminatedAt = System.nanoTime();
+            for (int i = 0; i < SIGNALS; i++) {
+                gateway.signal(i % 2 == 0 ? "TERM" : "HUP");
+            }
+            assertTrue(gateway.process.waitFor(20, TimeUnit.SECONDS));
+            double seconds = (System.nanoTime() - terminatedAt) / NANOS_PER_SECOND;
+            for (Future<?> client : clients) {
+                client.get();
+            }
+            assertEquals(0, gateway.process.exitValue());
+            assertTrue(seconds < Double.parseDouble(deadline) + KILL_GRACE_SECONDS, "ended after " + seconds + " s");
+            assertEquals(List.of(), unanswered(gateway));
+        }
+    }
+
+    /** Asks one request after the other on one connection, each for as long as the page lets clients wait. */
+    private void askUntilTheEnd(RunningGateway gateway, String deadline, String body) {
+        try (TestClient client = new TestClient(gateway.port)) {
+            while (true) {
+                String id = RunningGateway.nextRequestId();
+                PlatformGatewayFixture.send(client, id, "lookup", deadline, body);
+                if (!client.readHead()) {
+                    return;
+                }
+                statuses.put(id, client.status);
+                client.readBody();
+            }
+        } catch (IOException e) {
+            // The connection was closed between two requests, or over one that was not read.
+        }
+    }
+
+    private List<String> unanswered(RunningGateway gateway) {
+        return gateway.prefillEngine.receivedRequests.stream()
+                .filter(request -> request.method().equals("POST"))
+                .map(request -> request.headers().get("X-Request-ID"))
+                .filter(id -> Long.parseLong(id, 16) > 0 && !statuses.containsKey(id))
+                .skip(1)
+                .toList();
+    }
+
+    /** A stream whose engine goes on with it is not cut at the time of the exit: that would lose it. */
+    @Test
+    void keepsAStreamThatIsUnderWay() throws Exception {
+        try (RunningGateway gateway =
+                RunningGateway.builder().settings(settings("0.4")).start()) {
+            PlatformGatewayFixture.lookupStatus(gateway);
+            try (TestClient client = gateway.post(RunningGateway.nextRequestId(), "lookup", "0.4", "in steps")) {
+                assertTrue(client.readHead());
+                assertEquals(200, client.status);
+                gateway.signal("TERM");
+                Await.until(() -> gateway.hasLogged("event=stopping"));
+                long exitAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(EXIT_MILLIS);
+                Await.until(() -> System.nanoTime() > exitAt);
+                assertTrue(gateway.process.isAlive());
+                gateway.confirmEvents(Integer.MAX_VALUE);
+                assertTrue(client.readBody().endsWith("data: [DONE]\n\n"));
+                assertTrue(gateway.process.waitFor(20, TimeUnit.SECONDS));
+                assertEquals(0, gateway.process.exitValue());
+            }
+        }
+    }
+}
--- a/src/test/java/dunlinladder/routing/Fleet.java
+++ b/src/test/java/dunlinladder/routing/Fleet.java
@@ -131,7 +131,7 @@
         for (String id : List.copyOf(latest.keySet())) {
             for (int attempt = 0; attempt < attempts.get(id); attempt++) {
                 handle(new RoutingEvent.AttemptEnded(
-                        id, attempt, latest.get(id).engine(), Status.TIMEOUT, 4.9, true, 0, Map.of()));
+                        id, attempt, latest.get(id).engine(), Status.TIMEOUT, 4.9, true, 0, Map.of(), true));
             }
         }
     }
@@ -268,7 +268,8 @@
                 now - sentAt.get(id),
                 closed,
                 note,
-                Map.of()));
+                Map.of(),
+                status.mayHaveArrived()));
     }
 
     void confirmationOverdue(String id) {
@@ -292,7 +293,15 @@
     /** Ends an attempt for good with a load report. */
     void reported(String id, Status status, Map<String, Double> report) {
         handle(new RoutingEvent.AttemptEnded(
-                id, attempts.get(id) - 1, latest.get(id).engine(), status, now - sentAt.get(id), true, 0, report));
+                id,
+                attempts.get(id) - 1,
+                latest.get(id).engine(),
+                status,
+                now - sentAt.get(id),
+                true,
+                0,
+                report,
+                true));
     }
 
     /** Plays a request to its good end. */
--- a/src/test/java/dunlinladder/routing/GoldenFleet.java
+++ b/src/test/java/dunlinladder/routing/GoldenFleet.java
@@ -362,7 +362,8 @@
                 now - attempt.at,
                 closed,
                 note,
-                report(attempt.engine));
+                report(attempt.engine),
+                told.mayHaveArrived());
         handle(clientRequest.gateway, outcome);
         if (chance(0.02)) {
             in(random.nextDouble(), () -> handle(clientRequest.gateway, outcome));
--- a/src/test/java/dunlinladder/routing/RequestLifeCycleTest.java
+++ b/src/test/java/dunlinladder/routing/RequestLifeCycleTest.java
@@ -246,7 +246,7 @@
         Fleet fleet = Fleet.pair();
         fleet.gone("x");
         fleet.handle(new RoutingEvent.FirstTokenReceived("x", 0, "r0", 0.1));
-        fleet.handle(new RoutingEvent.AttemptEnded("x", 0, "r0", Status.OK, 0.1, true, 0, java.util.Map.of()));
+        fleet.handle(new RoutingEvent.AttemptEnded("x", 0, "r0", Status.OK, 0.1, true, 0, Map.of(), true));
         assertEquals(0, fleet.sends());
     }
 }
--- a/src/test/java/dunlinladder/routing/VirtualFleet.java
+++ b/src/test/java/dunlinladder/routing/VirtualFleet.java
@@ -435,7 +435,15 @@
         handle(
                 request.gateway,
                 new RoutingEvent.AttemptEnded(
-                        forward.id(), sent.attempt, forward.engine(), status, now - sent.at, closed, note, Map.of()));
+                        forward.id(),
+                        sent.attempt,
+                        forward.engine(),
+                        status,
+                        now - sent.at,
+                        closed,
+                        note,
+                        Map.of(),
+                        status.mayHaveArrived()));
     }
 
     // ---- Changes of the fleet ----
