Ages of engines in the first lists: never older than what is safe while a clock may be wrong

Need: with a wall clock an hour ahead at the start, engines born 2 s ago counted as warm (80 of 80 requests sent), and one behind counted them as born just now. Change: those that started within one warm-up of the latest count as at most as old as their differences say and an age that slow start's reserve covers for any of them; with a start in the future the latest has that age. The special case for few late starters goes with it.

--- a/src/main/java/dunlinladder/core/EngineStartTimes.java
+++ b/src/main/java/dunlinladder/core/EngineStartTimes.java
@@ -15,8 +15,9 @@
  *       counts: one wrong clock, here or at an engine, makes no engine older than it is.
  *   <li>Starts from before that, in the first lists, go by the wall clock where it makes sense. A start in its future
  *       shows that it is wrong: the latest start of all stands for the present then.
- *   <li>A wall clock that is ahead cannot be told from engines that are old. Where few engines started last, they count
- *       as started just now: for a while they get less than they could bear, which does no harm.
+ *   <li>A wall clock that is ahead cannot be told from engines that are old. Those that started last, all within the
+ *       time of one warm-up, count as a fleet that starts: never older than the differences of their starts say, and an
+ *       age more that is safe for any of them. For a while they may get less than they could bear, never none.
  * </ul>
  *
  * <p>One thread at a time.
@@ -31,14 +32,18 @@
     private static final double CLOCK_SKEW_SECONDS = 1;
     /** Longest way of news that is believed. */
     private static final double MAX_NEWS_SECONDS = 6;
-    /** One part in this many of the engines is few. */
-    private static final int LISTED_PER_FEW = 4;
+    /**
+     * The age that is safe for an engine of unknown age: it adds so much of the part of its capacity that an engine has
+     * at its start. Slow start uses half of what the rules allow, so that up to twice that part is safe.
+     */
+    private static final double SAFE_ADDED_CAPACITY = 0.6;
     /** Engines of which the start is remembered, those that have left included. */
     private static final int MAX_KNOWN = 8192;
 
     private final MonotonicClock clock;
     private final WallClock wallClock;
     private final double warmUpSeconds;
+    private final double safeAgeSeconds;
     private final Map<String, Start> known = new LruMap<>(MAX_KNOWN);
     /** Greatest difference of a stated start to the clock at its news: that news was the shortest time under way. */
     private double fastestNews = Double.NEGATIVE_INFINITY;
@@ -48,11 +53,19 @@
     /** A start as it was stated, in Unix seconds, and as clock time. */
     private record Start(double stated, double at) {}
 
-    /** Creates it for a fleet whose engines are warm after {@code warmUpSeconds}. */
-    public EngineStartTimes(MonotonicClock clock, WallClock wallClock, double warmUpSeconds) {
+    /**
+     * Creates it for a fleet whose engines are warm after {@code warmUpSeconds}.
+     *
+     * @param startCapacity the part of its capacity that an engine has at its start
+     */
+    public EngineStartTimes(MonotonicClock clock, WallClock wallClock, double warmUpSeconds, double startCapacity) {
         this.clock = clock;
         this.wallClock = wallClock;
         this.warmUpSeconds = warmUpSeconds;
+        // A part of the capacity is added in proportion to the age.
+        double gained = 1 - startCapacity;
+        this.safeAgeSeconds =
+                gained > 0 ? warmUpSeconds * Math.min(1, SAFE_ADDED_CAPACITY * startCapacity / gained) : warmUpSeconds;
     }
 
     /**
@@ -94,25 +107,23 @@
     /**
      * What the first lists are read by.
      *
-     * @param unixSeconds the present
-     * @param doubtfulSince starts at or after it count as just now
+     * @param unixSeconds the present, perhaps by a wrong clock
+     * @param latestStart the latest start of all, in Unix seconds
      */
-    private record Present(double unixSeconds, double doubtfulSince) {
+    private record Present(double unixSeconds, double latestStart, double warmUpSeconds, double safeAgeSeconds) {
 
         double age(double startedAt) {
-            return startedAt >= doubtfulSince ? 0 : Math.max(0, unixSeconds - startedAt);
+            double byClock = unixSeconds - startedAt;
+            boolean inDoubt = startedAt >= latestStart - warmUpSeconds;
+            double byDifference = safeAgeSeconds + latestStart - startedAt;
+            return Math.max(0, inDoubt ? Math.min(byClock, byDifference) : byClock);
         }
     }
 
     private Present present(List<Engine> stated) {
         double latest = stated.stream().mapToDouble(Engine::startedAt).max().orElse(0);
         double wall = wallClock.now();
-        double unixSeconds = latest > wall + CLOCK_SKEW_SECONDS ? latest : wall;
-        double newestSince = latest - warmUpSeconds;
-        long newest = stated.stream()
-                .filter(engine -> engine.startedAt() > 0 && engine.startedAt() >= newestSince)
-                .count();
-        boolean few = newest * LISTED_PER_FEW <= stated.size();
-        return new Present(unixSeconds, few ? newestSince : Double.POSITIVE_INFINITY);
+        double unixSeconds = latest > wall + CLOCK_SKEW_SECONDS ? latest + safeAgeSeconds : wall;
+        return new Present(unixSeconds, latest, warmUpSeconds, safeAgeSeconds);
     }
 }
--- a/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
@@ -123,7 +123,11 @@
         endpointUpdates = new EndpointUpdatePublisher(
                 engines,
                 router,
-                new EngineStartTimes(clock, wallClock, config.routing().rules().cold()));
+                new EngineStartTimes(
+                        clock,
+                        wallClock,
+                        config.routing().rules().cold(),
+                        config.routing().rules().coldFrom()));
         endpointWatcher = createEndpointWatcher();
         sendGuard.setUnreadUpdateCheck(endpointWatcher::hasUnreadUpdate);
     }
--- /dev/null
+++ b/src/test/java/dunlinladder/it/ColdFleetTest.java
@@ -0,0 +1,58 @@
+package dunlinladder.it;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A fleet that has just started is ramped up by slow start, however wrong the gateway's wall clock is. */
+@Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class ColdFleetTest {
+
+    private static final int REQUESTS = 80;
+    private static final String TIMEOUT = "0.3";
+    /** 42 to 45 on a calm machine: neither refused nor let go. */
+    private static final int MIN_SENT = 25;
+
+    private static final int MAX_SENT = 60;
+    private static final Duration ENGINE_AGE = Duration.ofSeconds(2);
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 3600, -3600})
+    void rampIsKept(int clockErrorSeconds) throws Exception {
+        try (MachineFaults faults = new MachineFaults()) {
+            faults.setWallClockOffset(Duration.ofSeconds(clockErrorSeconds));
+            StubServer secondPrefillEngine = new StubServer(StubServer.Role.PREFILL);
+            Map<StubServer, String> engines = Map.of(
+                    secondPrefillEngine,
+                    "prompt",
+                    new StubServer(StubServer.Role.DECODE),
+                    "answer",
+                    new StubServer(StubServer.Role.DECODE),
+                    "answer");
+            try (RunningGateway gateway = RunningGateway.builder()
+                    .machineFaults(faults)
+                    .additionalEngines(engines)
+                    .enginesStartedAt(System.currentTimeMillis() - ENGINE_AGE.toMillis())
+                    .start()) {
+                for (int i = 0; i < REQUESTS; i++) {
+                    ask(gateway);
+                }
+                long sent = gateway.prefillEngine.requestCount("POST", "plain")
+                        + secondPrefillEngine.requestCount("POST", "plain");
+                assertTrue(sent >= MIN_SENT && sent <= MAX_SENT, sent + " of " + REQUESTS + " were sent");
+            }
+        }
+    }
+
+    private static Void ask(RunningGateway gateway) throws IOException {
+        try (TestClient client = gateway.post(RunningGateway.nextRequestId(), "lookup", TIMEOUT, "plain")) {
+            assertTrue(client.readHead());
+            return null;
+        }
+    }
+}
