--- a/src/main/java/dunlinladder/core/CacheHoldLedger.java
+++ b/src/main/java/dunlinladder/core/CacheHoldLedger.java
@@ -36,9 +36,12 @@
         private boolean attemptConfirmed;
         private boolean releaseBegun;
         private boolean released;
+        /** Whether the last attempt was given up here, so that its engine hears of its end by a close alone. */
+        private final boolean behindGivenUp;
 
-        Hold(double now) {
+        Hold(double now, boolean behindGivenUp) {
             waitingSince = now;
+            this.behindGivenUp = behindGivenUp;
         }
 
         boolean isOverdue(double now, double allowedSeconds) {
@@ -99,9 +102,9 @@
         if (outcome.ending() == Outcome.Ending.OK || outcome.isKvCacheMissing()) {
             holds.remove(requestId);
         } else if (outcome.ending() == Outcome.Ending.PREFILLED || written && mayLeaveCache(attempt, outcome)) {
-            holds.put(requestId, new Hold(now));
+            holds.put(requestId, new Hold(now, isGivenUp(outcome)));
         } else if (holds.containsKey(requestId)) {
-            goOn(requestId, reach, now);
+            goOn(requestId, outcome, reach, now);
         }
     }
 
@@ -110,25 +113,33 @@
         return !attempt.mayHaveEffect() && !outcome.ending().neverRan();
     }
 
-    /** A decode attempt has left the KV cache unfetched: the time begins anew only behind one that has arrived. */
-    private void goOn(String requestId, AttemptReach reach, double now) {
+    private static boolean isGivenUp(Outcome outcome) {
+        return outcome.ending() == Outcome.Ending.TIMEOUT || outcome.ending() == Outcome.Ending.CANCELLED;
+    }
+
+    /**
+     * An attempt has left the KV cache unfetched: the time begins anew only behind one that has arrived. One that is
+     * not known to have may have arrived before a release, which frees nothing that an attempt waits for.
+     */
+    private void goOn(String requestId, Outcome outcome, AttemptReach reach, double now) {
         Hold hold = holds.get(requestId);
-        if (hold.released) {
-            // It may have arrived before the release, which frees nothing that an attempt waits for.
-            holds.put(requestId, new Hold(now));
-            return;
-        }
-        hold.waitingSince = reach == AttemptReach.CONFIRMED ? now : hold.waitingSince;
-        hold.attemptWritten = false;
-        hold.attemptConfirmed = false;
+        boolean anew = hold.released || reach == AttemptReach.CONFIRMED;
+        holds.put(requestId, new Hold(anew ? now : hold.waitingSince, isGivenUp(outcome)));
     }
 
-    /** Engines are being asked to free what is held for a request. */
-    public synchronized void releaseBegun(String requestId) {
+    /**
+     * Engines are being asked to free what is held for a request.
+     *
+     * @return whether to ask once more a moment later: the last attempt was given up, and an engine that has not heard
+     *     of its end yet keeps the KV cache from a release
+     */
+    public synchronized boolean releaseBegun(String requestId) {
         Hold hold = holds.get(requestId);
-        if (hold != null) {
-            hold.releaseBegun = true;
+        if (hold == null) {
+            return false;
         }
+        hold.releaseBegun = true;
+        return hold.behindGivenUp;
     }
 
     /** An engine has taken the release of what was held when it was begun. */
--- a/src/main/java/dunlinladder/routing/RoutingPolicy.java
+++ b/src/main/java/dunlinladder/routing/RoutingPolicy.java
@@ -203,8 +203,8 @@
             request.attemptedEngines.clear();
             request.attemptedEngines.addAll(request.unconfirmedEngines);
         } else if (attempt.stage == Stage.DECODE && (cacheIsLost || late || attempt.releasedBehind)) {
-            // Rule 5: a cut-off prefill engine still holds what the decode engine cannot reach. An attempt that had
-            // arrived before the release behind it has kept the KV cache from that one.
+            // Rule 5: what cannot be reached stays held; an attempt that had arrived kept it from the release behind
+            // it.
             request.cacheMayRemain |= attempt.releasedBehind && !cacheIsLost;
             release(request);
         } else if (event.status() == RoutingEvent.Status.NOT_SENT) {
@@ -237,13 +237,15 @@
         }
     }
 
-    /** Rule 5: a decode attempt that has not arrived leaves the KV cache held; one that has keeps it all the same. */
+    /** Rule 5: an attempt that has not arrived leaves a KV cache held; one that has keeps its own all the same. */
     private void releaseBehind(AttemptState attempt) {
-        if (attempt.stage == Stage.DECODE && !attempt.hasFirstToken() && !attempt.request.ended) {
-            attempt.releasedBehind = true;
-            attempt.request.unconfirmedEngines.add(attempt.engine);
-            release(attempt.request);
+        if (attempt.hasFirstToken() || attempt.request.ended) {
+            return;
         }
+        release(attempt.request);
+        attempt.request.unconfirmedEngines.add(attempt.engine);
+        attempt.releasedBehind = attempt.stage == Stage.DECODE;
+        attempt.request.cacheMayRemain = attempt.stage.prefills(); // what the release frees is of an earlier prefill
     }
 
     /** Rule 5: whatever ends a request, nothing stays held for it; late outcomes release once more. */
--- a/src/main/java/dunlinladder/transport/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineClient.java
@@ -71,11 +71,10 @@
     public void release(String id) {
         openReleases.incrementAndGet();
         counters.increment(Counter.RELEASES);
-        cacheHolds.releaseBegun(id);
-        release(id, 1);
+        release(id, 1, cacheHolds.releaseBegun(id));
     }
 
-    private void release(String id, int round) {
+    private void release(String id, int round, boolean repeat) {
         EngineConnectionPool connections = context.connections();
         List<Engine> listed = new ArrayList<>(engines.listed());
         Collections.shuffle(listed);
@@ -87,14 +86,17 @@
                         context.limits(),
                         id,
                         order.iterator(),
-                        taken -> releaseEnded(id, round, taken))
+                        taken -> releaseEnded(id, round, repeat, taken))
                 .start();
     }
 
-    /** What is held stays owed: where no engine could be reached, all are asked again after a while. */
-    private void releaseEnded(String id, int round, boolean taken) {
-        if (!taken && round < MAX_RELEASE_ROUNDS) {
-            timer.schedule(() -> release(id, round + 1), RELEASE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    /**
+     * What is held stays owed: where no engine could be reached, all are asked again after a while; and behind an
+     * attempt that was given up one is, as the release may have overtaken the close of that attempt's connection.
+     */
+    private void releaseEnded(String id, int round, boolean repeat, boolean taken) {
+        if (!taken && round < MAX_RELEASE_ROUNDS || taken && repeat) {
+            timer.schedule(() -> release(id, round + 1, repeat && !taken), RELEASE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         openReleases.decrementAndGet();
--- a/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
+++ b/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
@@ -105,6 +105,16 @@
         assertEquals(0, violationsAt(20));
     }
 
+    /** The release may overtake the close by which an engine hears that its attempt was given up. */
+    @ParameterizedTest
+    @CsvSource({"TIMEOUT, true", "CANCELLED, true", "RESET, false", "FULL, false"})
+    void releaseIsRepeatedBehindAnAttemptThatWasGivenUp(Ending ending, boolean repeated) {
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
+        ledger.attemptWritten("id");
+        ledger.attemptEnded(attempt(true), Outcome.of(ending), AttemptReach.WRITTEN, 10.1);
+        assertEquals(repeated, ledger.releaseBegun("id"));
+    }
+
     /** The release may have come to the engine before the prefill that was begun behind it. */
     @Test
     void releaseOfAnEarlierPrefillDoesNotEndALaterOne() {
--- a/src/test/java/dunlinladder/it/FaultyLink.java
+++ b/src/test/java/dunlinladder/it/FaultyLink.java
@@ -2,16 +2,22 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * A link to a server, as a proxy on a free loopback port, that can fall silent under its connections: what is written
@@ -31,7 +37,46 @@
         FROM_SERVER
     }
 
+    /** Told of attempts that pass, by their ids. */
+    interface Observer {
+
+        /** An attempt has come to the server's machine; {@code timeout} is what it states, in seconds. */
+        void sent(String id, double timeout);
+
+        /** The first byte of its answer has left for the client. */
+        void answered(String id);
+
+        /** The client has closed the connection of an attempt before that. */
+        void givenUp(String id);
+    }
+
+    private static final Observer NOBODY = new Observer() {
+        @Override
+        public void sent(String id, double timeout) {
+            // Nobody asks.
+        }
+
+        @Override
+        public void answered(String id) {
+            // Nobody asks.
+        }
+
+        @Override
+        public void givenUp(String id) {
+            // Nobody asks.
+        }
+    };
+
+    private static final Pattern ATTEMPT =
+            Pattern.compile("X-Request-ID: ([0-9a-f]+)\r\n.*?X-Timeout: ([0-9.]+)\r\n", Pattern.DOTALL);
+    private static final int MAX_REMEMBERED_CHARACTERS = 2048;
+    /** Stand behind the last bytes of a client. */
+    private static final byte[] ORDERLY_END = {};
+
+    private static final byte[] RESET = {};
+
     private final InetSocketAddress server;
+    private final Observer observer;
     private final ServerSocket listener = new ServerSocket(0, LISTEN_QUEUE, InetAddress.getLoopbackAddress());
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
     /** Connections that keep the listen queue full while the link is cut. */
@@ -43,6 +88,11 @@
     private volatile double delaySeconds;
 
     FaultyLink(int serverPort) throws IOException {
+        this(serverPort, NOBODY);
+    }
+
+    FaultyLink(int serverPort, Observer observer) throws IOException {
+        this.observer = observer;
         server = new InetSocketAddress(InetAddress.getLoopbackAddress(), serverPort);
         start(this::acceptAll);
     }
@@ -107,10 +157,27 @@
         delaySeconds = seconds;
     }
 
-    private synchronized void awaitAccepting() throws InterruptedException {
+    /** Returns whether the link was cut meanwhile. */
+    private synchronized boolean awaitAccepting() throws InterruptedException {
+        boolean cut = !accepting;
         while (!accepting) {
             wait();
         }
+        return cut;
+    }
+
+    /**
+     * The protocol page: new connections to a machine that is cut off "never come up, or are reset when it is back".
+     */
+    private void resetQueued() throws IOException {
+        listener.setSoTimeout(1);
+        try {
+            while (true) {
+                reset(listener.accept());
+            }
+        } catch (SocketTimeoutException e) {
+            listener.setSoTimeout(0);
+        }
     }
 
     private synchronized void awaitPassage(Connection connection, Direction direction) throws InterruptedException {
@@ -121,7 +188,9 @@
 
     private void acceptAll() throws IOException, InterruptedException {
         while (true) {
-            awaitAccepting();
+            if (awaitAccepting()) {
+                resetQueued();
+            }
             Socket client = listener.accept();
             Connection connection = new Connection(client);
             connections.add(connection);
@@ -150,6 +219,10 @@
         private final Socket client;
         private final Socket onward = new Socket();
         private volatile boolean silent;
+        private final BlockingQueue<byte[]> read = new LinkedBlockingQueue<>();
+        private final StringBuilder head = new StringBuilder();
+        /** The attempt without a byte of an answer; empty where there is none. */
+        private volatile String openAttempt = "";
 
         Connection(Socket client) {
             this.client = client;
@@ -157,38 +230,95 @@
 
         void open() throws IOException, InterruptedException {
             client.setTcpNoDelay(true);
+            start(this::readClient);
             awaitPassage(this, Direction.TO_SERVER);
             try {
                 onward.connect(server);
             } catch (IOException e) {
-                reset(client);
+                resetBoth();
                 return;
             }
             onward.setTcpNoDelay(true);
-            start(() -> pass(onward, client, Direction.FROM_SERVER));
-            pass(client, onward, Direction.TO_SERVER);
+            start(this::passToClient);
+            passToServer();
+        }
+
+        /** Reads what comes from the client whether or not it may pass, so that it is seen when it comes. */
+        private void readClient() {
+            byte[] buffer = new byte[BUFFER_BYTES];
+            try {
+                for (int size = client.getInputStream().read(buffer); size >= 0; ) {
+                    spotAttempt(new String(buffer, 0, size, StandardCharsets.ISO_8859_1));
+                    read.add(Arrays.copyOf(buffer, size));
+                    size = client.getInputStream().read(buffer);
+                }
+                read.add(ORDERLY_END);
+            } catch (IOException e) {
+                read.add(RESET);
+            }
+            endAttempt(observer::givenUp);
         }
 
-        private void pass(Socket from, Socket to, Direction direction) throws InterruptedException {
+        private void passToServer() throws InterruptedException {
             try {
-                copy(from.getInputStream(), to.getOutputStream(), direction);
-                awaitPassage(this, direction);
-                to.shutdownOutput();
+                byte[] piece = read.take();
+                for (; piece.length > 0; piece = read.take()) {
+                    SoakFaults.pause(delaySeconds);
+                    awaitPassage(this, Direction.TO_SERVER);
+                    onward.getOutputStream().write(piece);
+                }
+                awaitPassage(this, Direction.TO_SERVER);
+                if (piece == RESET) {
+                    resetBoth();
+                } else {
+                    onward.shutdownOutput();
+                }
             } catch (IOException e) {
-                awaitPassage(this, direction);
-                reset(to);
-                reset(from);
-                connections.remove(this);
+                resetBoth();
             }
         }
 
-        private void copy(InputStream in, OutputStream out, Direction direction)
-                throws IOException, InterruptedException {
+        private void passToClient() throws InterruptedException {
             byte[] buffer = new byte[BUFFER_BYTES];
-            for (int size = in.read(buffer); size >= 0; size = in.read(buffer)) {
-                SoakFaults.pause(delaySeconds);
-                awaitPassage(this, direction);
-                out.write(buffer, 0, size);
+            try {
+                InputStream in = onward.getInputStream();
+                for (int size = in.read(buffer); size >= 0; size = in.read(buffer)) {
+                    SoakFaults.pause(delaySeconds);
+                    awaitPassage(this, Direction.FROM_SERVER);
+                    client.getOutputStream().write(buffer, 0, size);
+                    endAttempt(observer::answered);
+                }
+                awaitPassage(this, Direction.FROM_SERVER);
+                endAttempt(observer::givenUp);
+                client.shutdownOutput();
+            } catch (IOException e) {
+                awaitPassage(this, Direction.FROM_SERVER);
+                endAttempt(observer::givenUp);
+                resetBoth();
+            }
+        }
+
+        private void resetBoth() {
+            reset(client);
+            reset(onward);
+            connections.remove(this);
+        }
+
+        private void spotAttempt(String piece) {
+            head.append(piece);
+            Matcher attempt = ATTEMPT.matcher(head);
+            if (attempt.find()) {
+                openAttempt = attempt.group(1);
+                observer.sent(attempt.group(1), Double.parseDouble(attempt.group(2)));
+                head.setLength(0);
+            }
+            head.delete(0, Math.max(0, head.length() - MAX_REMEMBERED_CHARACTERS));
+        }
+
+        private synchronized void endAttempt(Consumer<String> event) {
+            if (!openAttempt.isEmpty()) {
+                event.accept(openAttempt);
+                openAttempt = "";
             }
         }
     }
--- a/src/test/java/dunlinladder/it/SoakEvent.java
+++ b/src/test/java/dunlinladder/it/SoakEvent.java
@@ -14,8 +14,14 @@
     private static final String MARK = "soak-event";
     private static final int FIELDS = 6;
 
-    /** What can happen. */
+    /** What can happen; the first three are seen by the link before the engine, the others by its process. */
     enum Kind {
+        /** An attempt has come to the engine's machine. */
+        SENT,
+        /** The gateway has the first byte of the answer to an attempt. */
+        ANSWERED,
+        /** The gateway has closed the connection of an attempt before a byte of an answer. */
+        GIVEN_UP,
         /** A prefill has arrived in full. */
         PREFILL_BEGUN,
         /** A prefill has ended, its KV cache is held. */
@@ -28,7 +34,9 @@
         RAN,
         /** A decode ended without having fetched anything. */
         DECODE_DROPPED,
-        /** A release has arrived. */
+        /** A decode has found no KV cache to fetch. */
+        DECODE_MISSING,
+        /** A release has arrived and freed a KV cache. */
         RELEASED
     }
 
--- a/src/test/java/dunlinladder/it/SoakFaults.java
+++ b/src/test/java/dunlinladder/it/SoakFaults.java
@@ -1,10 +1,11 @@
 package dunlinladder.it;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -14,12 +15,19 @@
     private static final double NANOS_PER_SECOND = 1e9;
     /** For which a gateway may be held up between two of its steps. */
     private static final double HELD_UP_SECONDS = 0.15;
-    /** SIGKILL comes so much later than SIGTERM: the longest deadline and 0.7 s. */
-    private static final double KILL_SECONDS = 3.7;
 
     private static final int MAX_FAILURES = 6;
 
     private static final int MAX_SOCKET_BYTES = 40;
+    private static final double MIN_SILENCE_SECONDS = 0.2;
+    private static final double MAX_SILENCE_SECONDS = 12;
+    private static final double MAX_LINK_DELAY_SECONDS = 0.03;
+    private static final int MAX_SIGNALS = 6;
+    private static final double MAX_SIGNAL_GAP_SECONDS = 0.1;
+    /** The page: new connections go on coming for 0.2 to 0.4 s behind SIGTERM. */
+    private static final double MIN_NEWCOMERS_SECONDS = 0.2;
+
+    private static final double NEWCOMERS_SPREAD_SECONDS = 0.2;
     private static final int MIN_SET_BACK_SECONDS = 4000;
     private static final int MAX_SET_BACK_SECONDS = 4000;
     private static final double[] CLOCK_STEPS = {-3600, -60, -7, -3, -0.5, 0.5, 3, 7, 60, 3600};
@@ -36,7 +44,9 @@
     enum Kind {
         ENGINE_MODE,
         ENGINE_STOPPED,
-        ENGINES_CUT_OFF,
+        ENGINES_SILENT,
+        ENGINES_SILENT_AND_CLOCKS_SET_BACK,
+        LINK_SLOW,
         ENGINE_REPLACED,
         ENGINE_DRAINED,
         CLOCK_STEPPED,
@@ -67,7 +77,12 @@
         switch (kind) {
             case ENGINE_MODE -> engineMode(seconds);
             case ENGINE_STOPPED -> stopEngine(fleet.anyEngine(random), seconds);
-            case ENGINES_CUT_OFF -> cutOffEngines(seconds);
+            case ENGINES_SILENT -> silenceEngines();
+            case ENGINES_SILENT_AND_CLOCKS_SET_BACK -> {
+                setBackClocks();
+                silenceEngines();
+            }
+            case LINK_SLOW -> slowLink(seconds);
             case ENGINE_REPLACED -> replaceEngine(seconds);
             case ENGINE_DRAINED -> drainEngine(seconds);
             case CLOCK_STEPPED -> stepClock();
@@ -77,9 +92,9 @@
             case SOCKET_FAILS -> fail(MachineFaults.Call.SOCKET, MachineFaults.Errno.EMFILE);
             case SHORT_TRANSFERS -> shortTransfers(seconds);
             case GATEWAY_HELD_UP -> holdUpGateway();
-            case GATEWAY_ENDED -> restartGateway("TERM", KILL_SECONDS);
-            case GATEWAY_KILLED -> restartGateway("KILL", 0);
-            case DISCOVERY_SILENT -> silenceDiscovery(seconds);
+            case GATEWAY_ENDED -> endGateway();
+            case GATEWAY_KILLED -> killGateway();
+            case DISCOVERY_SILENT -> fleet.silenceDiscovery(seconds);
         }
     }
 
@@ -102,27 +117,69 @@
         engine.process.tell(SoakEngine.Mode.SOUND.name());
     }
 
-    /**
-     * Half of the engines at once, and the clocks of all gateways set back: connections hang, and so would time-outs.
-     */
-    private void cutOffEngines(double seconds) {
-        setBackClocks();
-        List<Thread> stopping = new ArrayList<>();
-        for (SoakFleet.Engine engine : fleet.engines) {
-            if (random.nextBoolean()) {
-                Thread thread = new Thread(() -> stopEngine(engine, seconds));
-                thread.start();
-                stopping.add(thread);
+    /** The ways in which an engine falls silent under the connections that are kept to it. */
+    private enum Silence {
+        FROZEN,
+        LINK,
+        TO_ENGINE,
+        FROM_ENGINE,
+        CUT_OFF,
+        OPEN_CONNECTIONS
+    }
+
+    /** One engine, half or all of a role fall silent together, in one way, and go on after a while. */
+    private void silenceEngines() {
+        boolean prefills = random.nextBoolean();
+        double share = pick(List.of(0.0, 0.5, 1.0));
+        Silence silence = pick(List.of(Silence.values()));
+        double ratio = MAX_SILENCE_SECONDS / MIN_SILENCE_SECONDS;
+        double seconds = MIN_SILENCE_SECONDS * Math.pow(ratio, random.nextDouble());
+        List<SoakFleet.Engine> ofRole = fleet.engines.stream()
+                .filter(engine -> engine.prefills == prefills)
+                .toList();
+        List<SoakFleet.Engine> silent = ofRole.stream()
+                .limit(Math.max(1, Math.round(share * ofRole.size())))
+                .filter(SoakFleet.Engine::claim)
+                .toList();
+        record.faults.add(silence + " of " + silent.size() + " prefills=" + prefills + " " + seconds);
+        silent.forEach(engine -> begin(silence, engine));
+        pause(Math.min(seconds, fleet.secondsLeft()));
+        silent.forEach(engine -> end(silence, engine));
+    }
+
+    private static void begin(Silence silence, SoakFleet.Engine engine) {
+        try {
+            switch (silence) {
+                case FROZEN -> engine.process.signal("STOP");
+                case LINK -> engine.link.fallSilent(Set.of(FaultyLink.Direction.values()));
+                case TO_ENGINE -> engine.link.fallSilent(Set.of(FaultyLink.Direction.TO_SERVER));
+                case FROM_ENGINE -> engine.link.fallSilent(Set.of(FaultyLink.Direction.FROM_SERVER));
+                case CUT_OFF -> engine.link.cutOff();
+                case OPEN_CONNECTIONS -> engine.link.silenceOpenConnections();
             }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
-        for (Thread thread : stopping) {
-            try {
-                thread.join();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
+    }
+
+    private static void end(Silence silence, SoakFleet.Engine engine) {
+        try {
+            if (silence == Silence.FROZEN) {
+                engine.process.signal("CONT");
+            } else {
+                engine.link.restore();
             }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
+        engine.release();
+    }
+
+    private void slowLink(double seconds) {
+        FaultyLink link = fleet.anyEngine(random).link;
+        link.setDelay(MAX_LINK_DELAY_SECONDS * random.nextDouble());
+        pause(seconds);
+        link.setDelay(0);
     }
 
     private void setBackClocks() {
@@ -132,17 +189,12 @@
     }
 
     private void stopEngine(SoakFleet.Engine engine, double seconds) {
-        if (!engine.claim()) {
-            return;
+        if (engine.claim()) {
+            engine.process.signal("STOP");
+            pause(seconds);
+            engine.process.signal("CONT");
+            engine.release();
         }
-        long from = System.nanoTime();
-        engine.process.signal("STOP");
-        // Known before it ends, as the record is read by time.
-        record.absences.add(
-                new SoakRecord.Absence(engine.name, from, from + (long) ((seconds + 1) * NANOS_PER_SECOND)));
-        pause(seconds);
-        engine.process.signal("CONT");
-        engine.release();
     }
 
     private void replaceEngine(double seconds) throws IOException {
@@ -150,7 +202,7 @@
         if (!engine.claim()) {
             return;
         }
-        record.absences.add(new SoakRecord.Absence(engine.name, System.nanoTime(), Long.MAX_VALUE));
+        record.engineDeaths.add(new SoakRecord.EngineDeath(engine.name, System.nanoTime()));
         engine.process.kill();
         pause(seconds / 2);
         fleet.publish(engine, "left");
@@ -162,10 +214,7 @@
         if (!engine.claim()) {
             return;
         }
-        fleet.publish(engine, "leaving");
-        if (!fleet.discoveryWasSilent) {
-            record.drains.add(new SoakRecord.Drain(engine.name, System.nanoTime()));
-        }
+        record.drains.add(new SoakRecord.Drain(engine.name, fleet.publish(engine, "leaving")));
         pause(seconds + 2);
         // It stays claimed: an engine that drains does not come back under its name.
     }
@@ -192,52 +241,64 @@
         if (process == null) {
             return;
         }
+        long from = System.nanoTime();
         process.signal("STOP");
         pause(HELD_UP_SECONDS);
         process.signal("CONT");
+        record.holdUps.add(new SoakRecord.HoldUp(gateway.number, from, System.nanoTime()));
     }
 
-    private void restartGateway(String signal, double graceSeconds) throws IOException {
+    /** SIGTERM, with further signals behind it in series, and SIGKILL at the earliest that the page allows. */
+    private void endGateway() throws IOException {
         SoakFleet.Gateway gateway = fleet.anyGateway(random);
         if (!gateway.claim()) {
             return;
         }
-        long from = System.nanoTime();
         SoakProcess ended = gateway.process;
-        // No client is sent there from now on; those that are connected keep waiting for their answer.
+        long terminatedAt = System.nanoTime();
+        long killAt = terminatedAt + (long) (fleet.plan.killSeconds() * NANOS_PER_SECOND);
+        ended.signal("TERM");
+        Thread signals = new Thread(() -> signalInSeries(ended, new Random(random.nextLong())));
+        signals.start();
+        pause(MIN_NEWCOMERS_SECONDS + NEWCOMERS_SPREAD_SECONDS * random.nextDouble());
         gateway.process = null;
-        boolean byKill = signal.equals("KILL");
-        if (byKill) {
-            record.absences.add(new SoakRecord.Absence(gateway.name(), from, from + (long) (2 * NANOS_PER_SECOND)));
-        }
-        ended.signal(signal);
-        awaitEnd(ended, graceSeconds);
+        awaitEnd(gateway, ended, terminatedAt, killAt);
         gateway.start();
-        if (byKill) {
-            record.absences.add(new SoakRecord.Absence(gateway.name(), from, System.nanoTime()));
-        }
         gateway.release();
     }
 
-    private void awaitEnd(SoakProcess ended, double graceSeconds) {
+    private static void signalInSeries(SoakProcess process, Random random) {
+        for (int left = random.nextInt(MAX_SIGNALS); left > 0 && process.process.isAlive(); left--) {
+            pause(MAX_SIGNAL_GAP_SECONDS * random.nextDouble());
+            process.signal(random.nextBoolean() ? "TERM" : "HUP");
+        }
+    }
+
+    private void awaitEnd(SoakFleet.Gateway gateway, SoakProcess ended, long terminatedAt, long killAt) {
         try {
-            boolean inTime = ended.process.waitFor((long) (graceSeconds * NANOS_PER_SECOND), TimeUnit.NANOSECONDS);
-            if (!inTime && graceSeconds > 0) {
-                record.faults.add("SIGKILL behind SIGTERM");
-            }
+            boolean byItself = ended.process.waitFor(killAt - System.nanoTime(), TimeUnit.NANOSECONDS);
+            long endedAt = System.nanoTime();
+            ended.kill();
+            record.gatewayEnds.add(
+                    new SoakRecord.GatewayEnd(gateway.number, terminatedAt, byItself ? Long.MAX_VALUE : endedAt));
+            record.ends.add(SoakPlan.text((endedAt - terminatedAt) / NANOS_PER_SECOND) + " of "
+                    + SoakPlan.text(fleet.plan.killSeconds()) + (byItself ? "" : " killed"));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            ended.kill();
         }
-        ended.kill();
     }
 
-    private void silenceDiscovery(double seconds) throws IOException {
-        fleet.discoveryWasSilent = true;
-        // News that is under way now may not arrive.
-        record.drains.clear();
-        fleet.discovery.setUnresponsive(true);
-        fleet.discovery.closeConnections();
-        pause(seconds);
-        fleet.discovery.setUnresponsive(false);
+    private void killGateway() throws IOException {
+        SoakFleet.Gateway gateway = fleet.anyGateway(random);
+        if (!gateway.claim()) {
+            return;
+        }
+        SoakProcess ended = gateway.process;
+        gateway.process = null;
+        ended.kill();
+        record.gatewayEnds.add(new SoakRecord.GatewayEnd(gateway.number, Long.MAX_VALUE, System.nanoTime()));
+        gateway.start();
+        gateway.release();
     }
 }
--- a/src/test/java/dunlinladder/it/SoakFleet.java
+++ b/src/test/java/dunlinladder/it/SoakFleet.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,9 @@
 /** The processes of a run: gateways with faults of the machine, engines, and discovery within this process. */
 final class SoakFleet implements AutoCloseable {
 
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final long TOLD_NANOS = (long) (6 * NANOS_PER_SECOND);
+    private static final double PUBLISHED_SECONDS = 0.1;
     private static final int SOCKETS = 1024;
     private static final List<String> ALARMS = List.of(
             "event=invariant_violated",
@@ -23,33 +27,60 @@
             "event=reject_forbidden",
             "OutOfMemoryError");
 
-    /** One engine and its state in the list. */
-    static final class Engine {
+    /** Engines that no fault takes away at any time: what is held can be released at them. */
+    private static final int SOUND_ENGINES = 3;
+
+    /** One engine behind its link, and its state in the list. */
+    final class Engine implements FaultyLink.Observer {
         final SoakProcess process;
+        final FaultyLink link;
         final String name;
         final boolean prefills;
         private volatile String health = "active";
-        private volatile boolean away;
+        private boolean away;
 
-        Engine(SoakProcess process, String name, boolean prefills) {
+        Engine(SoakProcess process, String name, boolean prefills) throws IOException {
             this.process = process;
+            this.link = new FaultyLink(process.port, this);
             this.name = name;
             this.prefills = prefills;
         }
 
-        /** Claims it for a fault that takes it away; false where another one has. */
-        synchronized boolean claim() {
-            boolean free = !away;
-            away = true;
-            return free;
+        @Override
+        public void sent(String id, double timeout) {
+            record.events.add(new SoakEvent(System.nanoTime(), SoakEvent.Kind.SENT, id, name, timeout));
         }
 
-        synchronized void release() {
-            away = false;
+        @Override
+        public void answered(String id) {
+            record.events.add(new SoakEvent(System.nanoTime(), SoakEvent.Kind.ANSWERED, id, name, 0));
+        }
+
+        @Override
+        public void givenUp(String id) {
+            record.events.add(new SoakEvent(System.nanoTime(), SoakEvent.Kind.GIVEN_UP, id, name, 0));
+        }
+
+        /** Claims it for a fault that takes it away; false where another one has, or too few would be left. */
+        boolean claim() {
+            synchronized (engines) {
+                long sound = engines.stream().filter(engine -> !engine.away).count();
+                if (away || sound <= SOUND_ENGINES) {
+                    return false;
+                }
+                away = true;
+                return true;
+            }
+        }
+
+        void release() {
+            synchronized (engines) {
+                away = false;
+            }
         }
 
         private String entry() {
-            return RunningGateway.endpoint("127.0.0.1:" + process.port, prefills ? "prompt" : "answer", health)
+            return RunningGateway.endpoint(link.address(), prefills ? "prompt" : "answer", health)
                     .replaceFirst("\"host\":\"[^\"]*\"", "\"host\":\"" + name + "\"");
         }
     }
@@ -84,7 +115,10 @@
         void start() throws IOException {
             Files.writeString(configuration, configurationText());
             process = SoakProcess.start(
-                    List.of("dunlinladder.lifecycle.Main", "serve", "--state", "absent"), environment(), this::log);
+                    gatewayClassPath,
+                    List.of("dunlinladder.lifecycle.Main", "serve", "--state", "absent"),
+                    environment(),
+                    this::log);
         }
 
         private Map<String, String> environment() {
@@ -98,7 +132,7 @@
         private String configurationText() {
             return "{\"discovery\":\"" + discovery.address() + "\",\"name\":\"n" + number + "\",\"seed\":\""
                     + Long.toHexString(seed + number) + "\",\"known\":" + list(1, engines)
-                    + ",\"limits\":{\"sockets\":" + SOCKETS + "},\"settings\":" + RunningGateway.SETTINGS + "}";
+                    + ",\"limits\":{\"sockets\":" + SOCKETS + "},\"settings\":" + plan.settings() + "}";
         }
 
         private void log(String line) {
@@ -114,23 +148,35 @@
     final List<Engine> engines = new CopyOnWriteArrayList<>();
     final List<Gateway> gateways = new ArrayList<>();
     final List<String> logs = new CopyOnWriteArrayList<>();
+    final SoakPlan plan;
+    private final SoakCaches caches = new SoakCaches();
+    private final String gatewayClassPath;
     private final long seed;
     private final AtomicInteger enginesStarted = new AtomicInteger();
-    /** Whether any news may have come late. */
-    volatile boolean discoveryWasSilent;
+    /** When the traffic ends. */
+    volatile long end;
+    /** When discovery was silent last; what it has to tell counts as told later then. */
+    private long discoverySilentUntil = Long.MIN_VALUE;
 
     private int version = 1;
 
-    /** Starts all processes: half of the engines prefill. */
-    SoakFleet(SoakRecord record, long seed, int gatewayCount, int engineCount) throws IOException {
+    /**
+     * Starts all processes: half of the engines prefill.
+     *
+     * @param gatewayClassPath where the gateways' classes are
+     */
+    SoakFleet(SoakRecord record, long seed, SoakPlan plan, String gatewayClassPath) throws IOException {
         this.record = record;
         this.seed = seed;
-        for (int i = 0; i < engineCount; i++) {
+        this.plan = plan;
+        this.gatewayClassPath = gatewayClassPath;
+        for (int i = 0; i < plan.engines(); i++) {
             startEngine(i % 2 == 0);
         }
-        for (int i = 0; i < gatewayCount; i++) {
+        for (int i = 0; i < plan.gateways(); i++) {
             Gateway gateway = new Gateway(i);
             gateways.add(gateway);
+            gateway.faults.setWallClockOffset(Duration.ofNanos((long) (plan.clockErrorSeconds() * NANOS_PER_SECOND)));
             gateway.start();
         }
     }
@@ -143,7 +189,8 @@
                         "dunlinladder.it.SoakEngine",
                         prefills ? "prefill" : "decode",
                         name,
-                        Long.toString(seed + name.hashCode())),
+                        Long.toString(seed + name.hashCode()),
+                        Integer.toString(caches.port())),
                 Map.of(),
                 this::engineLine);
         Engine engine = new Engine(process, name, prefills);
@@ -162,14 +209,36 @@
                 + String.join(",", engines.stream().map(Engine::entry).toList()) + "]}";
     }
 
-    /** Publishes an engine with this health. */
-    synchronized void publish(Engine engine, String health) {
+    /** Publishes an engine with this health; returns when this counts as told to every gateway. */
+    synchronized long publish(Engine engine, String health) {
         engine.health = health;
         version++;
         discovery.publish(list(version, List.of(engine)));
         if (health.equals("left")) {
             engines.remove(engine);
         }
+        long now = System.nanoTime();
+        // Standing: "a change counts as told at the latest 6 s after discovery had it and could be reached".
+        boolean mayBeLate = now - discoverySilentUntil < TOLD_NANOS;
+        return mayBeLate ? Math.max(now, discoverySilentUntil) + TOLD_NANOS : now;
+    }
+
+    /** Has discovery be silent for so long; watches end. */
+    void silenceDiscovery(double seconds) throws IOException {
+        synchronized (this) {
+            // What was published just now is with the gateways first.
+            SoakFaults.pause(PUBLISHED_SECONDS);
+            discoverySilentUntil = System.nanoTime() + (long) (seconds * NANOS_PER_SECOND);
+            discovery.setUnresponsive(true);
+            discovery.closeConnections();
+        }
+        SoakFaults.pause(seconds);
+        discovery.setUnresponsive(false);
+    }
+
+    /** Seconds until the traffic ends. */
+    double secondsLeft() {
+        return Math.max(0, (end - System.nanoTime()) / NANOS_PER_SECOND);
     }
 
     Engine anyEngine(Random random) {
@@ -189,7 +258,11 @@
             gateway.faults.close();
             Files.deleteIfExists(gateway.configuration);
         }
-        engines.forEach(engine -> engine.process.kill());
+        for (Engine engine : engines) {
+            engine.process.kill();
+            engine.link.close();
+        }
         discovery.close();
+        caches.close();
     }
 }
--- a/src/test/java/dunlinladder/it/SoakProcess.java
+++ b/src/test/java/dunlinladder/it/SoakProcess.java
@@ -38,6 +38,13 @@
      */
     static SoakProcess start(List<String> command, Map<String, String> environment, Consumer<String> lines)
             throws IOException {
+        return start(System.getProperty("java.class.path"), command, environment, lines);
+    }
+
+    /** The same with another class path. */
+    static SoakProcess start(
+            String classPath, List<String> command, Map<String, String> environment, Consumer<String> lines)
+            throws IOException {
         List<String> words = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx48m",
@@ -46,7 +53,7 @@
                 "-XX:TieredStopAtLevel=1",
                 "-Xshare:auto",
                 "-cp",
-                System.getProperty("java.class.path")));
+                classPath));
         words.addAll(command);
         ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
         builder.environment().putAll(environment);
--- a/src/test/java/dunlinladder/it/SoakRecord.java
+++ b/src/test/java/dunlinladder/it/SoakRecord.java
@@ -5,12 +5,16 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.stream.Stream;
 
 /** What was seen of one run, by all sides; times are {@link System#nanoTime}. Safe for use by several threads. */
 final class SoakRecord {
 
-    /** What a client got for one request; {@code status} is {@link #NO_ANSWER} without one. */
+    /**
+     * What a client got for one request.
+     *
+     * @param status {@link #NO_ANSWER} where the connection ended without one
+     * @param endedAt when the head of the answer or the end of the connection came
+     */
     record Answer(Sent request, int status, long endedAt) {}
 
     /**
@@ -20,37 +24,63 @@
      */
     record Sent(String id, int gateway, boolean listing, long sentAt, long timeoutNanos, long leavesAt) {}
 
-    /** A span in which a process was stopped, or from which on it was gone. */
-    record Absence(String process, long from, long until) {
+    /**
+     * The end of a gateway's process.
+     *
+     * @param terminatedAt when it got SIGTERM, {@link Long#MAX_VALUE} for never
+     * @param killedAt when it got SIGKILL, {@link Long#MAX_VALUE} where it had ended by itself
+     */
+    record GatewayEnd(int gateway, long terminatedAt, long killedAt) {}
+
+    /** A span for which a gateway was held up between two of its steps. */
+    record HoldUp(int gateway, long from, long until) {
 
         boolean overlaps(long start, long end) {
             return from < end && start < until;
         }
     }
 
-    /** An engine that drains, and from when on every gateway has been told. */
+    /** An engine whose process was killed. */
+    record EngineDeath(String engine, long at) {}
+
+    /** An engine that drains, and from when on this counts as told. */
     record Drain(String engine, long toldAt) {}
 
     static final int NO_ANSWER = 0;
 
     final Queue<SoakEvent> events = new ConcurrentLinkedQueue<>();
     final Queue<Answer> answers = new ConcurrentLinkedQueue<>();
-    final Queue<Absence> absences = new ConcurrentLinkedQueue<>();
+    final Queue<GatewayEnd> gatewayEnds = new ConcurrentLinkedQueue<>();
+    final Queue<HoldUp> holdUps = new ConcurrentLinkedQueue<>();
+    final Queue<EngineDeath> engineDeaths = new ConcurrentLinkedQueue<>();
     final Queue<Drain> drains = new ConcurrentLinkedQueue<>();
     /** Lines of the gateways' logs that tell of a violation or a fault of their own. */
     final Queue<String> alarms = new ConcurrentLinkedQueue<>();
     /** Names of what was brought about, in order. */
     final Queue<String> faults = new ConcurrentLinkedQueue<>();
+    /** How long each end by SIGTERM took, in seconds, against the time that there was. */
+    final Queue<String> ends = new ConcurrentLinkedQueue<>();
 
     final Map<String, Sent> sent = new ConcurrentHashMap<>();
 
-    /** Whether a process was away at any time in a span. */
-    boolean wasAway(String process, long start, long end) {
-        return away(process).anyMatch(absence -> absence.overlaps(start, end));
+    /** Whether an attempt of the request had come to an engine before a time. */
+    boolean wasForwardedBefore(String requestId, long time) {
+        return events.stream()
+                .anyMatch(event -> event.kind() == SoakEvent.Kind.SENT
+                        && event.nanos() < time
+                        && event.requestId().equals(requestId));
+    }
+
+    /** The end of a gateway's process by SIGKILL within a span; null where there was none. */
+    GatewayEnd killOf(int gateway, long from, long until) {
+        return gatewayEnds.stream()
+                .filter(end -> end.gateway() == gateway && end.killedAt() >= from && end.killedAt() <= until)
+                .findFirst()
+                .orElse(null);
     }
 
-    private Stream<Absence> away(String process) {
-        return absences.stream().filter(absence -> absence.process().equals(process));
+    boolean wasHeldUp(int gateway, long from, long until) {
+        return holdUps.stream().anyMatch(holdUp -> holdUp.gateway() == gateway && holdUp.overlaps(from, until));
     }
 
     /** All events of one request in the order of their times. */
--- a/src/test/java/dunlinladder/routing/RequestLifeCycleTest.java
+++ b/src/test/java/dunlinladder/routing/RequestLifeCycleTest.java
@@ -140,16 +140,28 @@
     }
 
     @Test
-    void cacheIsNotReleasedBehindAPrefillOrAStream() {
+    void cacheIsNotReleasedBehindAStream() {
         Fleet fleet = Fleet.pair();
         fleet.arrive("a");
-        fleet.confirmationOverdue("a");
         fleet.outcome("a", Status.PREFILLED);
         fleet.first("a");
         fleet.confirmationOverdue("a");
         assertEquals(0, fleet.releases("a"));
     }
 
+    /** A prefill whose answer was lost may have left a KV cache, and the next one does not arrive. */
+    @Test
+    void cacheOfALostPrefillIsReleasedBehindTheNextOneAndTheNextOnesOwnLater() {
+        Fleet fleet = Fleet.pair();
+        fleet.arrive("a");
+        fleet.outcome("a", Status.TIMEOUT);
+        fleet.confirmationOverdue("a");
+        assertEquals(1, fleet.releases("a"));
+        fleet.gone("a");
+        fleet.outcome("a", Status.CANCELLED, 0, true);
+        assertEquals(2, fleet.releases("a"));
+    }
+
     /** What arrives behind the release finds nothing to fetch: it has not run, and an unsafe request may go on. */
     @Test
     void unsafeRequestGoesOnWhenItArrivesBehindItsRelease() {
