--- a/src/main/java/dunlinladder/routing/RoutingPolicy.java
+++ b/src/main/java/dunlinladder/routing/RoutingPolicy.java
@@ -203,8 +203,7 @@
             request.attemptedEngines.clear();
             request.attemptedEngines.addAll(request.unconfirmedEngines);
         } else if (attempt.stage == Stage.DECODE && (cacheIsLost || late || attempt.releasedBehind)) {
-            // Rule 5: what cannot be reached stays held; an attempt that had arrived kept it from the release behind
-            // it.
+            // Rule 5: what cannot be reached stays held; an attempt that had arrived has kept it from a release.
             request.cacheMayRemain |= attempt.releasedBehind && !cacheIsLost;
             release(request);
         } else if (event.status() == RoutingEvent.Status.NOT_SENT) {
