A first request that a late reading thread found waiting is charged for its wait

Cause: a request that became whole over 0.05 s after its connection's accept was not charged at all, though a reading thread that is behind (500 idle connections at once, a fresh JVM) finds it there late. Change: what counts is the time since the connection's first read. Also: make soak-mutants.

--- a/src/main/java/dunlinladder/transport/http/ServerExchange.java
+++ b/src/main/java/dunlinladder/transport/http/ServerExchange.java
@@ -54,6 +54,8 @@
     private Runnable onOver = () -> {};
     /** Null but for the first request of a connection. */
     private ConnectionArrival arrival;
+    /** By {@link System#nanoTime}; of meaning where there is an arrival. */
+    private long firstReadAt;
 
     /** The id of the request that the core has taken, null while it has none. */
     private volatile String requestId;
@@ -88,9 +90,10 @@
         onOver = task;
     }
 
-    /** This is the first request of a connection that came so. */
-    final void cameWith(ConnectionArrival connectionArrival) {
+    /** This is the first request of a connection that came so, and was first read at {@code readAt}. */
+    final void cameWith(ConnectionArrival connectionArrival, long readAt) {
         arrival = connectionArrival;
+        firstReadAt = readAt;
     }
 
     /** Gives up a request that is not here in full; false where it is, and then it has been taken. */
@@ -141,7 +144,7 @@
 
     /** Longest time in seconds since the request, which has just become whole, was sent. */
     protected final double maxSecondsSinceSend() {
-        return arrival == null ? 0 : arrival.maxSecondsSinceSend(System.nanoTime());
+        return arrival == null ? 0 : arrival.maxSecondsSinceSend(firstReadAt, System.nanoTime());
     }
 
     /** The value of a header, null when it is absent. */
--- /dev/null
+++ b/src/test/java/dunlinladder/it/SoakMutants.java
@@ -0,0 +1,122 @@
+package dunlinladder.it;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import javax.tools.JavaCompiler;
+import javax.tools.ToolProvider;
+
+/**
+ * The soak tested itself: the mend of one rule is taken out of a copy of the program, and the oracle has to find that
+ * within a few seeds. {@code make soak-mutants} runs all of them.
+ */
+final class SoakMutants {
+
+    private static final int MAX_SEEDS = 10;
+    private static final int FIRST_SEED = 1;
+    private static final Path SOURCES = Path.of("src/main/java/dunlinladder");
+    private static final Path CLASSES = Path.of("target/classes");
+
+    /** One change of a source file. */
+    private record Change(String file, String from, String to) {}
+
+    /** What is taken out. */
+    private enum Mutant {
+        WRITTEN_COUNTS_AS_ARRIVED(
+                new Change("transport/engine/AttemptProgress.java", "return overdue;", "return false;")),
+        NO_RELEASE(new Change(
+                "transport/engine/EngineClient.java",
+                "        openReleases.incrementAndGet();",
+                "        if (true) {\n            return;\n        }\n        openReleases.incrementAndGet();")),
+        CLIENT_NOT_ASKED(new Change(
+                "core/Dispatcher.java",
+                "        InFlightRequest request = inFlight.get(id);",
+                "        InFlightRequest request = null;")),
+        GRACE_FORGOTTEN(
+                new Change(
+                        "routing/EndpointTable.java",
+                        "endpoint.lifecycle() == Lifecycle.ACTIVE",
+                        "endpoint.lifecycle() != Lifecycle.LEFT"),
+                new Change(
+                        "core/SendGuard.java",
+                        "return engines.accepts(attempt.engine()) ?",
+                        "return engines.find(attempt.engine().id()).isPresent() ?")),
+        UNSAFE_REQUEST_REPEATED(
+                new Change("routing/RetryPolicy.java", "request.has(Effect.UNSAFE) || request.has", "request.has"),
+                new Change(
+                        "routing/RetryPolicy.java",
+                        "|| request.has(Effect.SAFE)) {",
+                        "|| !request.has(Effect.KEYED)) {"),
+                new Change(
+                        "routing/RetryPolicy.java",
+                        "(prefill || request.has(Effect.SAFE))",
+                        "(prefill || !request.has(Effect.KEYED))"),
+                new Change(
+                        "core/ServiceRules.java",
+                        "return isNonIdempotent(request.serviceClass()) && history.mayHaveRun();",
+                        "return false;"));
+
+        private final List<Change> changes;
+
+        Mutant(Change... changes) {
+            this.changes = List.of(changes);
+        }
+    }
+
+    private SoakMutants() {}
+
+    /** Argument: the folder for records. Exits with 1 where the soak has not found a mutant. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        boolean allFound = true;
+        for (Mutant mutant : Mutant.values()) {
+            Path classes = Path.of("target/mutants", mutant.name());
+            compile(mutant, classes);
+            int seeds = seedsUntilFound(classes + File.pathSeparator + System.getProperty("java.class.path"), args[0]);
+            allFound &= seeds <= MAX_SEEDS;
+            System.out.println(mutant + (seeds <= MAX_SEEDS ? " found by seed " + seeds : " NOT FOUND"));
+        }
+        System.exit(allFound ? 0 : 1);
+    }
+
+    /** The number of seeds that were run until a rule was broken; more than there are where none was. */
+    private static int seedsUntilFound(String classPath, String folder) throws IOException, InterruptedException {
+        for (int seed = FIRST_SEED; seed < FIRST_SEED + MAX_SEEDS; seed++) {
+            if (!new FaultSoak(seed, classPath).run(Path.of(folder))) {
+                return seed - FIRST_SEED + 1;
+            }
+        }
+        return MAX_SEEDS + 1;
+    }
+
+    private static void compile(Mutant mutant, Path classes) throws IOException {
+        List<String> files = new ArrayList<>();
+        for (Change change : mutant.changes) {
+            Path copy = Path.of("target/mutant-sources", mutant.name(), change.file);
+            Path original = Files.exists(copy) && files.contains(copy.toString()) ? copy : SOURCES.resolve(change.file);
+            String text = Files.readString(original);
+            if (!text.contains(change.from)) {
+                throw new IOException(change.file + " does not hold: " + change.from);
+            }
+            Files.createDirectories(copy.getParent());
+            Files.writeString(copy, text.replace(change.from, change.to));
+            if (!files.contains(copy.toString())) {
+                files.add(copy.toString());
+            }
+        }
+        Files.createDirectories(classes);
+        List<String> words = new ArrayList<>(List.of(
+                "-nowarn",
+                "-d",
+                classes.toString(),
+                "-cp",
+                CLASSES + File.pathSeparator + System.getProperty("java.class.path")));
+        words.addAll(files);
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        if (compiler.run(null, null, null, words.toArray(String[]::new)) != 0) {
+            throw new IOException("does not compile: " + mutant);
+        }
+    }
+}
--- a/src/test/java/dunlinladder/transport/http/ListenQueueClockTest.java
+++ b/src/test/java/dunlinladder/transport/http/ListenQueueClockTest.java
@@ -31,7 +31,10 @@
     @Test
     void waitCountsOnlyForARequestThatWasThereWithItsConnection() {
         ConnectionArrival arrival = new ConnectionArrival(1_000, 300_000_000);
-        assertEquals(0.31, arrival.maxSecondsSinceSend(10_001_000), 1e-9);
-        assertEquals(0, arrival.maxSecondsSinceSend(60_001_000));
+        assertEquals(0.31, arrival.maxSecondsSinceSend(5_001_000, 10_001_000), 1e-9);
+        // A reading thread that was late found it there.
+        assertEquals(0.8, arrival.maxSecondsSinceSend(490_001_000, 500_001_000), 1e-9);
+        // The client took its time.
+        assertEquals(0, arrival.maxSecondsSinceSend(5_001_000, 60_001_000));
     }
 }
