--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build: the program; test: unit and integration tests; lint: format, style, faults the compiler can find; format: sources; run: one gateway from RELAY_CONFIG.
-.PHONY: build faults fault-soak soak-mutants test lint format run docs demo conformance bench soak regress site-files clean
+.PHONY: build faults fault-soak soak-mutants silence-table test lint format run docs demo conformance bench soak regress site-files clean
 
 build:
 	mvn -q -DskipTests package
@@ -41,7 +41,13 @@
 SEEDS ?= 20
 fault-soak: faults
 	mvn -q -B -ntp test-compile dependency:build-classpath -Dmdep.outputFile=target/test-classpath.txt -Dmdep.includeScope=test
-	java -cp target/classes:target/test-classes:$$(cat target/test-classpath.txt) dunlinladder.it.FaultSoak $(SEED) $(SEEDS) target/soak
+	java -cp target/classes:target/test-classes:$$(cat target/test-classpath.txt) dunlinladder.it.FaultSoak $(SEED) $(SEEDS) target/soak $(GATEWAY)
+
+# KV caches held behind decode engines that fall silent, in a table; GATEWAY names another build's classes.
+GATEWAY ?=
+silence-table: faults
+	mvn -q -B -ntp test-compile dependency:build-classpath -Dmdep.outputFile=target/test-classpath.txt -Dmdep.includeScope=test
+	java -cp target/classes:target/test-classes:$$(cat target/test-classpath.txt) dunlinladder.it.SilenceTable $(GATEWAY)
 
 # The soak tested itself: with the mend of a rule taken out of a copy of the program it has to find that.
 soak-mutants: faults
--- a/src/test/java/dunlinladder/it/FaultSoak.java
+++ b/src/test/java/dunlinladder/it/FaultSoak.java
@@ -43,14 +43,18 @@
         this.random = new Random(seed);
     }
 
-    /** Arguments: the first seed, how many of them, the folder for records. Exits with 1 where a rule was broken. */
+    /**
+     * Arguments: the first seed, how many of them, the folder for records; and a folder with the gateways' classes
+     * where these are another build's. Exits with 1 where a rule was broken.
+     */
     public static void main(String[] args) throws IOException, InterruptedException {
         long first = Long.parseLong(args[0]);
         int seeds = Integer.parseInt(args[1]);
         Path folder = Path.of(args[2]);
+        String classPath = SoakProcess.classPathWith(args.length > 3 ? args[3] : "");
         int broken = 0;
         for (long seed = first; seed < first + seeds; seed++) {
-            broken += new FaultSoak(seed, System.getProperty("java.class.path")).run(folder) ? 0 : 1;
+            broken += new FaultSoak(seed, classPath).run(folder) ? 0 : 1;
         }
         System.out.println("seeds " + seeds + ", with violations " + broken);
         System.exit(broken == 0 ? 0 : 1);
--- a/src/test/java/dunlinladder/it/SoakFaults.java
+++ b/src/test/java/dunlinladder/it/SoakFaults.java
@@ -1,11 +1,9 @@
 package dunlinladder.it;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -117,21 +115,11 @@
         engine.process.tell(SoakEngine.Mode.SOUND.name());
     }
 
-    /** The ways in which an engine falls silent under the connections that are kept to it. */
-    private enum Silence {
-        FROZEN,
-        LINK,
-        TO_ENGINE,
-        FROM_ENGINE,
-        CUT_OFF,
-        OPEN_CONNECTIONS
-    }
-
     /** One engine, half or all of a role fall silent together, in one way, and go on after a while. */
     private void silenceEngines() {
         boolean prefills = random.nextBoolean();
         double share = pick(List.of(0.0, 0.5, 1.0));
-        Silence silence = pick(List.of(Silence.values()));
+        SoakSilence silence = pick(List.of(SoakSilence.values()));
         double ratio = MAX_SILENCE_SECONDS / MIN_SILENCE_SECONDS;
         double seconds = MIN_SILENCE_SECONDS * Math.pow(ratio, random.nextDouble());
         List<SoakFleet.Engine> ofRole = fleet.engines.stream()
@@ -142,37 +130,12 @@
                 .filter(SoakFleet.Engine::claim)
                 .toList();
         record.faults.add(silence + " of " + silent.size() + " prefills=" + prefills + " " + seconds);
-        silent.forEach(engine -> begin(silence, engine));
+        silent.forEach(silence::begin);
         pause(Math.min(seconds, fleet.secondsLeft()));
-        silent.forEach(engine -> end(silence, engine));
-    }
-
-    private static void begin(Silence silence, SoakFleet.Engine engine) {
-        try {
-            switch (silence) {
-                case FROZEN -> engine.process.signal("STOP");
-                case LINK -> engine.link.fallSilent(Set.of(FaultyLink.Direction.values()));
-                case TO_ENGINE -> engine.link.fallSilent(Set.of(FaultyLink.Direction.TO_SERVER));
-                case FROM_ENGINE -> engine.link.fallSilent(Set.of(FaultyLink.Direction.FROM_SERVER));
-                case CUT_OFF -> engine.link.cutOff();
-                case OPEN_CONNECTIONS -> engine.link.silenceOpenConnections();
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
-    private static void end(Silence silence, SoakFleet.Engine engine) {
-        try {
-            if (silence == Silence.FROZEN) {
-                engine.process.signal("CONT");
-            } else {
-                engine.link.restore();
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        engine.release();
+        silent.forEach(engine -> {
+            silence.end(engine);
+            engine.release();
+        });
     }
 
     private void slowLink(double seconds) {
--- a/src/test/java/dunlinladder/it/SoakFleet.java
+++ b/src/test/java/dunlinladder/it/SoakFleet.java
@@ -17,6 +17,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long TOLD_NANOS = (long) (6 * NANOS_PER_SECOND);
     private static final double PUBLISHED_SECONDS = 0.1;
+    private static final int ENGINES_PER_PREFILL = 3;
     private static final int SOCKETS = 1024;
     private static final List<String> ALARMS = List.of(
             "event=invariant_violated",
@@ -161,7 +162,7 @@
     private int version = 1;
 
     /**
-     * Starts all processes: half of the engines prefill.
+     * Starts all processes: a third of the engines prefill.
      *
      * @param gatewayClassPath where the gateways' classes are
      */
@@ -171,7 +172,7 @@
         this.plan = plan;
         this.gatewayClassPath = gatewayClassPath;
         for (int i = 0; i < plan.engines(); i++) {
-            startEngine(i % 2 == 0);
+            startEngine(i % ENGINES_PER_PREFILL == 0);
         }
         for (int i = 0; i < plan.gateways(); i++) {
             Gateway gateway = new Gateway(i);
--- a/src/test/java/dunlinladder/it/SoakOracle.java
+++ b/src/test/java/dunlinladder/it/SoakOracle.java
@@ -36,6 +36,7 @@
     private final SoakRecord record;
     private final long end;
     private final List<String> violations = new ArrayList<>();
+    private double longestHeldSeconds;
 
     /** Checks a run that was over at {@code end}. */
     SoakOracle(SoakRecord record, long end) {
@@ -65,6 +66,11 @@
         return violations;
     }
 
+    /** The longest time in which nothing was out for what was held; to be asked behind {@link #violations}. */
+    double longestHeldSeconds() {
+        return longestHeldSeconds;
+    }
+
     private void violate(String rule, String id, String text) {
         violations.add(rule + " " + id + " " + text);
     }
@@ -182,6 +188,7 @@
     /** Whether the time in which nothing was out for what is held was short enough. */
     private boolean checkSpan(SoakRecord.Sent sent, HeldState state, long until) {
         double held = seconds(until - state.since);
+        longestHeldSeconds = Math.max(longestHeldSeconds, held);
         if (held <= HELD_SECONDS) {
             return true;
         }
--- a/src/test/java/dunlinladder/it/SoakProcess.java
+++ b/src/test/java/dunlinladder/it/SoakProcess.java
@@ -1,6 +1,7 @@
 package dunlinladder.it;
 
 import java.io.BufferedReader;
+import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
@@ -41,6 +42,12 @@
         return start(System.getProperty("java.class.path"), command, environment, lines);
     }
 
+    /** The class path of this process, behind a folder with other classes where one is named. */
+    static String classPathWith(String folder) {
+        String own = System.getProperty("java.class.path");
+        return folder.isEmpty() ? own : folder + File.pathSeparator + own;
+    }
+
     /** The same with another class path. */
     static SoakProcess start(
             String classPath, List<String> command, Map<String, String> environment, Consumer<String> lines)
