--- a/src/main/java/dunlinladder/core/AttemptRunner.java
+++ b/src/main/java/dunlinladder/core/AttemptRunner.java
@@ -130,6 +130,7 @@
         }
         Outcome outcome = call.get().await();
         double endedAt = clock.now();
+        releaseWhatAPrefillLeft(attempt, endedAt);
         request.history().recordEnd(outcome, progress.reach(), endedAt);
         cacheHolds.attemptEnded(attempt, outcome, progress.reach(), endedAt);
         count(outcome);
@@ -169,11 +170,20 @@
         return Optional.of(call);
     }
 
+    /** A prefill ends while a KV cache of an earlier one, whose answer was lost, can wait no longer. */
+    private void releaseWhatAPrefillLeft(Attempt attempt, double now) {
+        if (!attempt.mayHaveEffect()
+                && cacheHolds.isReleaseDue(attempt.request().id(), now)) {
+            router.confirmationOverdue(attempt);
+        }
+    }
+
     /** Nothing of an attempt was sent; true when nothing is owed to the client any more, as it has left. */
     private boolean endNotSent(InFlightRequest request, Attempt attempt) {
         boolean disconnected = request.isDisconnected();
         Outcome outcome = Outcome.of(Outcome.Ending.CONNECT_FAILED);
         count(outcome);
+        releaseWhatAPrefillLeft(attempt, clock.now());
         request.history().recordEnd(outcome, AttemptReach.UNWRITTEN, clock.now());
         router.attemptEnded(attempt, outcome, AttemptReach.UNWRITTEN, disconnected);
         return disconnected;
--- a/src/main/java/dunlinladder/core/CacheHoldLedger.java
+++ b/src/main/java/dunlinladder/core/CacheHoldLedger.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,12 +37,12 @@
         private boolean attemptConfirmed;
         private boolean releaseBegun;
         private boolean released;
-        /** Whether the last attempt was given up here, so that its engine hears of its end by a close alone. */
-        private final boolean behindGivenUp;
+        /** Where the last attempt was given up, if it was: that engine hears of its end by a close alone. */
+        private final Optional<Engine> givenUpAt;
 
-        Hold(double now, boolean behindGivenUp) {
+        Hold(double now, Optional<Engine> givenUpAt) {
             waitingSince = now;
-            this.behindGivenUp = behindGivenUp;
+            this.givenUpAt = givenUpAt;
         }
 
         boolean isOverdue(double now, double allowedSeconds) {
@@ -57,16 +58,22 @@
 
     /** Until when an attempt for a request has to be out, as a KV cache waits for it. */
     synchronized ArrivalDeadlines arrivalDeadlines(String requestId) {
-        Hold hold = holds.get(requestId);
-        if (hold == null || hold.releaseBegun) {
+        if (!isWaiting(requestId)) {
             return ArrivalDeadlines.NONE;
         }
+        double waitingSince = holds.get(requestId).waitingSince;
         return new ArrivalDeadlines(
-                hold.waitingSince + MAX_UNSENT_FRACTION * releaseWithin,
-                hold.waitingSince + MAX_UNCONFIRMED_FRACTION * releaseWithin,
+                waitingSince + MAX_UNSENT_FRACTION * releaseWithin,
+                waitingSince + MAX_UNCONFIRMED_FRACTION * releaseWithin,
                 MIN_CONFIRM_FRACTION * releaseWithin);
     }
 
+    /** Whether a KV cache has waited for so long that it is to be released unless an attempt that needs it is out. */
+    synchronized boolean isReleaseDue(String requestId, double now) {
+        return isWaiting(requestId)
+                && now >= holds.get(requestId).waitingSince + MAX_UNCONFIRMED_FRACTION * releaseWithin;
+    }
+
     /** The last byte of an attempt was written: it may arrive and fetch the KV cache, or never arrive. */
     synchronized void attemptWritten(String requestId) {
         Hold hold = holds.get(requestId);
@@ -102,9 +109,10 @@
         if (outcome.ending() == Outcome.Ending.OK || outcome.isKvCacheMissing()) {
             holds.remove(requestId);
         } else if (outcome.ending() == Outcome.Ending.PREFILLED || written && mayLeaveCache(attempt, outcome)) {
-            holds.put(requestId, new Hold(now, isGivenUp(outcome)));
+            boolean anew = reach == AttemptReach.CONFIRMED || !isWaiting(requestId);
+            holds.put(requestId, new Hold(anew ? now : holds.get(requestId).waitingSince, givenUpAt(attempt, outcome)));
         } else if (holds.containsKey(requestId)) {
-            goOn(requestId, outcome, reach, now);
+            goOn(attempt, outcome, reach, now);
         }
     }
 
@@ -113,33 +121,46 @@
         return !attempt.mayHaveEffect() && !outcome.ending().neverRan();
     }
 
-    private static boolean isGivenUp(Outcome outcome) {
-        return outcome.ending() == Outcome.Ending.TIMEOUT || outcome.ending() == Outcome.Ending.CANCELLED;
+    /** Whether a KV cache waits that no release was begun for. */
+    private boolean isWaiting(String requestId) {
+        Hold hold = holds.get(requestId);
+        return hold != null && !hold.releaseBegun;
+    }
+
+    private static Optional<Engine> givenUpAt(Attempt attempt, Outcome outcome) {
+        boolean givenUp = outcome.ending() == Outcome.Ending.TIMEOUT || outcome.ending() == Outcome.Ending.CANCELLED;
+        return givenUp ? Optional.of(attempt.engine()) : Optional.empty();
     }
 
     /**
      * An attempt has left the KV cache unfetched: the time begins anew only behind one that has arrived. One that is
      * not known to have may have arrived before a release, which frees nothing that an attempt waits for.
      */
-    private void goOn(String requestId, Outcome outcome, AttemptReach reach, double now) {
+    private void goOn(Attempt attempt, Outcome outcome, AttemptReach reach, double now) {
+        String requestId = attempt.request().id();
         Hold hold = holds.get(requestId);
         boolean anew = hold.released || reach == AttemptReach.CONFIRMED;
-        holds.put(requestId, new Hold(anew ? now : hold.waitingSince, isGivenUp(outcome)));
+        holds.put(requestId, new Hold(anew ? now : hold.waitingSince, givenUpAt(attempt, outcome)));
     }
 
     /**
      * Engines are being asked to free what is held for a request.
      *
-     * @return whether to ask once more a moment later: the last attempt was given up, and an engine that has not heard
-     *     of its end yet keeps the KV cache from a release
+     * @return the engine at which the last attempt was given up, if it was: as long as that engine has not heard of its
+     *     end it keeps the KV cache from a release
      */
-    public synchronized boolean releaseBegun(String requestId) {
+    public synchronized Optional<Engine> releaseBegun(String requestId) {
         Hold hold = holds.get(requestId);
         if (hold == null) {
-            return false;
+            return Optional.empty();
         }
         hold.releaseBegun = true;
-        return hold.behindGivenUp;
+        return hold.givenUpAt;
+    }
+
+    /** Whether a KV cache waits that no release was begun for, as a later prefill has left it. */
+    public synchronized boolean isHeldAnew(String requestId) {
+        return isWaiting(requestId);
     }
 
     /** An engine has taken the release of what was held when it was begun. */
--- /dev/null
+++ b/src/main/java/dunlinladder/transport/engine/CacheRelease.java
@@ -0,0 +1,128 @@
+package dunlinladder.transport.engine;
+
+import dunlinladder.core.CacheHoldLedger;
+import dunlinladder.core.Engine;
+import dunlinladder.core.EngineRegistry;
+import dunlinladder.core.Limits;
+import dunlinladder.core.ReleaseOrder;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The release of one request's KV cache until nothing can be held any more. Where no engine could be reached, all are
+ * asked again. Behind an attempt that was given up the release is repeated: it frees nothing that an attempt waits for,
+ * and it may have overtaken the close by which that attempt's engine hears of its end. An engine that has fallen silent
+ * hears of it late, so that the repeats go on until there is a sign of life from it, for a bounded time.
+ *
+ * <p>All of it runs on the timer's thread.
+ */
+final class CacheRelease {
+
+    private static final Logger LOG = LoggerFactory.getLogger(CacheRelease.class);
+
+    /** Times that all engines are asked where none can be reached. */
+    private static final int MAX_ROUNDS = 4;
+    /** Between two of them, and before the first repeat: a close takes no longer to a running engine. */
+    private static final long PAUSE_MILLIS = 100;
+    /** Between further repeats: an engine that goes on holds the KV cache for no longer. */
+    private static final long REPEAT_MILLIS = 400;
+    /** Repeats at most; silences of up to 4 s are covered. */
+    private static final int MAX_REPEATS = 11;
+
+    private final Shared shared;
+    private final String requestId;
+    private final Optional<Engine> givenUpAt;
+    private final Consumer<Boolean> settledListener;
+    private final long begunAt = System.nanoTime();
+    private int rounds;
+    private int repeats;
+
+    /**
+     * What all releases share.
+     *
+     * @param engines those that may be asked
+     * @param timer has one thread
+     */
+    record Shared(
+            EngineConnectionPool connections,
+            EngineRegistry engines,
+            CacheHoldLedger cacheHolds,
+            Limits limits,
+            ScheduledExecutorService timer) {}
+
+    /**
+     * Prepares a release.
+     *
+     * @param givenUpAt where the request's last attempt was given up, if it was
+     * @param settledListener told once whether an engine has taken the release, by the first repeat at the latest
+     */
+    CacheRelease(Shared shared, String requestId, Optional<Engine> givenUpAt, Consumer<Boolean> settledListener) {
+        this.shared = shared;
+        this.requestId = requestId;
+        this.givenUpAt = givenUpAt;
+        this.settledListener = settledListener;
+    }
+
+    /** Begins; may be called by any thread, once. */
+    void start() {
+        shared.timer().execute(this::ask);
+    }
+
+    private void ask() {
+        rounds++;
+        List<Engine> listed = new ArrayList<>(shared.engines().listed());
+        Collections.shuffle(listed);
+        List<Engine> order = ReleaseOrder.of(listed, shared.connections().lastResponses());
+        LOG.info("event=release_begun request={} round={} engines={}", requestId, rounds, order.size());
+        new ReleaseChain(
+                        shared.connections(),
+                        shared.timer(),
+                        shared.limits(),
+                        requestId,
+                        order.iterator(),
+                        this::chainEnded)
+                .start();
+    }
+
+    private void chainEnded(boolean taken) {
+        if (!taken && repeats == 0 && rounds < MAX_ROUNDS) {
+            schedule(this::ask, PAUSE_MILLIS);
+            return;
+        }
+        if (repeats == 1 || !taken && repeats == 0 || givenUpAt.isEmpty()) {
+            settledListener.accept(taken);
+        }
+        if (taken && givenUpAt.isPresent() && !isSettled()) {
+            schedule(this::repeat, repeats == 0 ? PAUSE_MILLIS : REPEAT_MILLIS);
+        }
+    }
+
+    /** Whether a repeat has come behind a sign of life of the engine, or there were enough. */
+    private boolean isSettled() {
+        boolean heard =
+                shared.connections().wasHeardSince(givenUpAt.orElseThrow().address(), begunAt);
+        return repeats >= MAX_REPEATS || repeats > 0 && heard;
+    }
+
+    /** Not where a later prefill has left its own KV cache meanwhile: the release would free that one. */
+    private void repeat() {
+        boolean superseded = shared.cacheHolds().isHeldAnew(requestId);
+        repeats++;
+        if (!superseded) {
+            ask();
+        } else if (repeats == 1) {
+            settledListener.accept(true);
+        }
+    }
+
+    private void schedule(Runnable task, long millis) {
+        shared.timer().schedule(task, millis, TimeUnit.MILLISECONDS);
+    }
+}
--- a/src/main/java/dunlinladder/transport/engine/EngineConnectionPool.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineConnectionPool.java
@@ -264,6 +264,11 @@
         return lastResponses.snapshot();
     }
 
+    /** Whether an address was found to answer, or at least to accept, since a time by {@link System#nanoTime}. */
+    boolean wasHeardSince(String address, long nanos) {
+        return lastResponses.isLaterThan(address, nanos);
+    }
+
     /** Closes what has been idle too long; to be called now and then. */
     public void closeIdle() {
         lastResponses.expireOlderThan(limits.idleSeconds());
--- a/src/main/java/dunlinladder/transport/engine/LastResponses.java
+++ b/src/main/java/dunlinladder/transport/engine/LastResponses.java
@@ -26,6 +26,12 @@
         lastAt.values().removeIf(at -> at < oldest);
     }
 
+    /** Whether an engine has answered since a time by {@link System#nanoTime}. */
+    boolean isLaterThan(String address, long nanos) {
+        Long at = lastAt.get(address);
+        return at != null && createdAt + at > nanos;
+    }
+
     /** A copy: by address, nanoseconds on a clock of its own; greater is later. */
     Map<String, Long> snapshot() {
         return Map.copyOf(lastAt);
--- a/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
+++ b/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
@@ -1,6 +1,8 @@
 package dunlinladder.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dunlinladder.core.Outcome.Ending;
 import org.junit.jupiter.api.Test;
@@ -105,6 +107,20 @@
         assertEquals(0, violationsAt(20));
     }
 
+    /** A second prefill is lost as well: what the first one left has waited since that one's end. */
+    @Test
+    void timeOfALostPrefillRunsOnThroughTheNextOne() {
+        prefill(Ending.RESET, AttemptReach.WRITTEN);
+        assertFalse(ledger.isReleaseDue("id", 10.24));
+        ledger.attemptEnded(attempt(false), Outcome.of(Ending.RESET), AttemptReach.WRITTEN, 10.2);
+        assertTrue(ledger.isReleaseDue("id", 10.26));
+        ledger.releaseBegun("id");
+        assertFalse(ledger.isReleaseDue("id", 10.27));
+        assertFalse(ledger.isHeldAnew("id"));
+        ledger.attemptEnded(attempt(false), Outcome.of(Ending.PREFILLED), AttemptReach.CONFIRMED, 10.3);
+        assertTrue(ledger.isHeldAnew("id"));
+    }
+
     /** The release may overtake the close by which an engine hears that its attempt was given up. */
     @ParameterizedTest
     @CsvSource({"TIMEOUT, true", "CANCELLED, true", "RESET, false", "FULL, false"})
@@ -112,7 +128,7 @@
         prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
         ledger.attemptWritten("id");
         ledger.attemptEnded(attempt(true), Outcome.of(ending), AttemptReach.WRITTEN, 10.1);
-        assertEquals(repeated, ledger.releaseBegun("id"));
+        assertEquals(repeated, ledger.releaseBegun("id").isPresent());
     }
 
     /** The release may have come to the engine before the prefill that was begun behind it. */
