--- a/src/main/java/dunlinladder/core/CacheHoldLedger.java
+++ b/src/main/java/dunlinladder/core/CacheHoldLedger.java
@@ -139,7 +139,11 @@
     private void goOn(Attempt attempt, Outcome outcome, AttemptReach reach, double now) {
         String requestId = attempt.request().id();
         Hold hold = holds.get(requestId);
-        boolean anew = hold.released || reach == AttemptReach.CONFIRMED;
+        if (reach == AttemptReach.UNWRITTEN) {
+            // As if it had not been: a release that was begun before goes on.
+            return;
+        }
+        boolean anew = hold.releaseBegun || reach == AttemptReach.CONFIRMED;
         holds.put(requestId, new Hold(anew ? now : hold.waitingSince, givenUpAt(attempt, outcome)));
     }
 
--- a/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
+++ b/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
@@ -107,6 +107,15 @@
         assertEquals(0, violationsAt(20));
     }
 
+    @Test
+    void releaseGoesOnThroughAnAttemptThatWasNotWritten() {
+        prefill(Ending.PREFILLED, AttemptReach.CONFIRMED);
+        ledger.releaseBegun("id");
+        ledger.attemptEnded(attempt(true), Outcome.of(Ending.CONNECT_FAILED), AttemptReach.UNWRITTEN, 10.3);
+        ledger.releaseTaken("id");
+        assertEquals(0, violationsAt(20));
+    }
+
     /** A second prefill is lost as well: what the first one left has waited since that one's end. */
     @Test
     void timeOfALostPrefillRunsOnThroughTheNextOne() {
