--- a/src/test/java/dunlinladder/it/SoakFleet.java
+++ b/src/test/java/dunlinladder/it/SoakFleet.java
@@ -157,7 +157,7 @@
     /** When the traffic ends. */
     volatile long end;
     /** When discovery was silent last; what it has to tell counts as told later then. */
-    private long discoverySilentUntil = Long.MIN_VALUE;
+    private long discoverySilentUntil = System.nanoTime() - TOLD_NANOS;
 
     private int version = 1;
 
