Two repeats behind a prefill; first requests are charged from when their connection was taken up

A prefill ends by itself soon, so that two repeats are enough. The rest of that fall, second prefills behind slow decode attempts, is not mended: ROADMAP. The charge of first requests since the first read would have charged a client for being silent on a new connection. Measured: unit tests of the classes touched, SilentEngineTest; lint.

--- a/src/main/java/dunlinladder/core/SendGuard.java
+++ b/src/main/java/dunlinladder/core/SendGuard.java
@@ -44,7 +44,7 @@
     }
 
     /** Whether machines of the engine's kind only prefill. */
-    boolean isPrefillOnly(Engine engine) {
+    public boolean isPrefillOnly(Engine engine) {
         return rules.isPrefillOnly(engine.kind());
     }
 
--- a/src/main/java/dunlinladder/transport/engine/CacheRelease.java
+++ b/src/main/java/dunlinladder/transport/engine/CacheRelease.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,8 +34,12 @@
     private static final long PAUSE_MILLIS = 100;
     /** Between further repeats: an engine that goes on holds the KV cache for no longer. */
     private static final long REPEAT_MILLIS = 400;
-    /** Repeats at most; silences of up to 4 s are covered. */
+    /** Repeats at most behind a decode attempt; silences of up to 4 s are covered. */
     private static final int MAX_REPEATS = 11;
+    /**
+     * Behind a prefill, which ends by itself soon: its KV cache waits for no attempt then, and is freed by the next.
+     */
+    private static final int MAX_PREFILL_REPEATS = 2;
 
     private final Shared shared;
     private final String requestId;
@@ -48,11 +53,13 @@
      * What all releases share.
      *
      * @param engines those that may be asked
+     * @param prefillsOnly whether an engine only prefills
      * @param timer has one thread
      */
     record Shared(
             EngineConnectionPool connections,
             EngineRegistry engines,
+            Predicate<Engine> prefillsOnly,
             CacheHoldLedger cacheHolds,
             Limits limits,
             ScheduledExecutorService timer) {}
@@ -108,7 +115,8 @@
     private boolean isSettled() {
         boolean heard =
                 shared.connections().wasHeardSince(givenUpAt.orElseThrow().address(), begunAt);
-        return repeats >= MAX_REPEATS || repeats > 0 && heard;
+        int most = shared.prefillsOnly().test(givenUpAt.orElseThrow()) ? MAX_PREFILL_REPEATS : MAX_REPEATS;
+        return repeats >= most || repeats > 0 && heard;
     }
 
     /** Not where a later prefill has left its own KV cache meanwhile: the release would free that one. */
--- a/src/main/java/dunlinladder/transport/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineClient.java
@@ -40,7 +40,8 @@
         this.context = new EngineCallContext(connections, sendGuard, instruments.clock(), limits);
         this.counters = instruments.counters();
         this.cacheHolds = instruments.cacheHolds();
-        this.releases = new CacheRelease.Shared(connections, engines, cacheHolds, limits, timer);
+        this.releases =
+                new CacheRelease.Shared(connections, engines, sendGuard::isPrefillOnly, cacheHolds, limits, timer);
     }
 
     @Override
--- a/src/main/java/dunlinladder/transport/http/ClientConnection.java
+++ b/src/main/java/dunlinladder/transport/http/ClientConnection.java
@@ -79,10 +79,8 @@
     private volatile long waitingSince = System.nanoTime();
 
     private volatile boolean answeredBefore;
-    /** Whether anything of it was read, and when first; the I/O thread's alone. */
-    private boolean wasRead;
-
-    private long firstReadAt;
+    /** When the I/O thread took it up. */
+    private final long takenUpAt = System.nanoTime();
     /** Whether it was closed with a part of a head here: the rest no longer counts. */
     private volatile boolean closedAmidHead;
     /** Whether it was told to close, and has not done so yet. */
@@ -163,10 +161,6 @@
             discard(buffer);
             return null;
         }
-        if (!wasRead) {
-            wasRead = true;
-            firstReadAt = System.nanoTime();
-        }
         return parseHead(buffer);
     }
 
@@ -222,7 +216,7 @@
         phase = Phase.EXCHANGE_OPEN;
         exchange.onOver(this::exchangeOver);
         if (!answeredBefore) {
-            exchange.cameWith(arrival, firstReadAt);
+            exchange.cameWith(arrival, takenUpAt);
         }
         return exchange;
     }
--- a/src/main/java/dunlinladder/transport/http/ConnectionArrival.java
+++ b/src/main/java/dunlinladder/transport/http/ConnectionArrival.java
@@ -10,17 +10,18 @@
 record ConnectionArrival(long acceptedAt, long maxQueuedNanos) {
 
     private static final double NANOS_PER_SECOND = 1e9;
-    /** A request that is whole so soon after the first read of its connection may have been there all the while. */
+    /** A request that is whole so soon after its connection was taken up may have been there all the while. */
     private static final long READ_AT_ONCE_NANOS = 50_000_000;
 
     /**
      * Longest time in seconds since the first request of the connection, which is whole at {@code now}, was sent. A
-     * reading thread that is late may find the request there long after the accept.
+     * reading thread that is late may find the request there long after the accept; a client may also be silent on its
+     * connection for long before it sends one, which is no wait.
      *
-     * @param firstReadAt {@link System#nanoTime} at which the connection was read for the first time
+     * @param takenUpAt {@link System#nanoTime} at which the reading thread took the connection up
      */
-    double maxSecondsSinceSend(long firstReadAt, long now) {
-        boolean readAtOnce = now - firstReadAt <= READ_AT_ONCE_NANOS;
+    double maxSecondsSinceSend(long takenUpAt, long now) {
+        boolean readAtOnce = now - takenUpAt <= READ_AT_ONCE_NANOS;
         return readAtOnce ? (maxQueuedNanos + now - acceptedAt) / NANOS_PER_SECOND : 0;
     }
 }
--- a/src/main/java/dunlinladder/transport/http/ServerExchange.java
+++ b/src/main/java/dunlinladder/transport/http/ServerExchange.java
@@ -55,7 +55,7 @@
     /** Null but for the first request of a connection. */
     private ConnectionArrival arrival;
     /** By {@link System#nanoTime}; of meaning where there is an arrival. */
-    private long firstReadAt;
+    private long takenUpAt;
 
     /** The id of the request that the core has taken, null while it has none. */
     private volatile String requestId;
@@ -90,10 +90,10 @@
         onOver = task;
     }
 
-    /** This is the first request of a connection that came so, and was first read at {@code readAt}. */
-    final void cameWith(ConnectionArrival connectionArrival, long readAt) {
+    /** This is the first request of a connection that came so, and was taken up at {@code takenUp}. */
+    final void cameWith(ConnectionArrival connectionArrival, long takenUp) {
         arrival = connectionArrival;
-        firstReadAt = readAt;
+        takenUpAt = takenUp;
     }
 
     /** Gives up a request that is not here in full; false where it is, and then it has been taken. */
@@ -144,7 +144,7 @@
 
     /** Longest time in seconds since the request, which has just become whole, was sent. */
     protected final double maxSecondsSinceSend() {
-        return arrival == null ? 0 : arrival.maxSecondsSinceSend(firstReadAt, System.nanoTime());
+        return arrival == null ? 0 : arrival.maxSecondsSinceSend(takenUpAt, System.nanoTime());
     }
 
     /** The value of a header, null when it is absent. */
--- a/src/test/java/dunlinladder/transport/http/ListenQueueClockTest.java
+++ b/src/test/java/dunlinladder/transport/http/ListenQueueClockTest.java
@@ -34,7 +34,7 @@
         assertEquals(0.31, arrival.maxSecondsSinceSend(5_001_000, 10_001_000), 1e-9);
         // A reading thread that was late found it there.
         assertEquals(0.8, arrival.maxSecondsSinceSend(490_001_000, 500_001_000), 1e-9);
-        // The client took its time.
+        // The client took its time, though all of it came at once.
         assertEquals(0, arrival.maxSecondsSinceSend(5_001_000, 60_001_000));
     }
 }
