A later attempt of a request ends the repeats of its releases

Change: a later attempt supersedes the release (EngineClient.send); behind one that is out there are no repeats. CacheHoldLedgerTest, SilentEngineTest, DispatcherTest, ArchitectureTest, lint pass.

--- a/src/main/java/dunlinladder/core/CacheHoldLedger.java
+++ b/src/main/java/dunlinladder/core/CacheHoldLedger.java
@@ -159,12 +159,8 @@
             return Optional.empty();
         }
         hold.releaseBegun = true;
-        return hold.givenUpAt;
-    }
-
-    /** Whether a KV cache waits that no release was begun for, as a later prefill has left it. */
-    public synchronized boolean isHeldAnew(String requestId) {
-        return isWaiting(requestId);
+        // Behind an attempt that is out a repeat could free what that one leaves.
+        return hold.attemptWritten ? Optional.empty() : hold.givenUpAt;
     }
 
     /** An engine has taken the release of what was held when it was begun. */
--- a/src/main/java/dunlinladder/transport/engine/CacheRelease.java
+++ b/src/main/java/dunlinladder/transport/engine/CacheRelease.java
@@ -1,6 +1,5 @@
 package dunlinladder.transport.engine;
 
-import dunlinladder.core.CacheHoldLedger;
 import dunlinladder.core.Engine;
 import dunlinladder.core.EngineRegistry;
 import dunlinladder.core.Limits;
@@ -46,6 +45,9 @@
     private final Optional<Engine> givenUpAt;
     private final Consumer<Boolean> settledListener;
     private final long begunAt = System.nanoTime();
+    /** Whether a later attempt of the request has begun: the release would free its KV cache. */
+    private volatile boolean superseded;
+
     private int rounds;
     private int repeats;
 
@@ -60,7 +62,6 @@
             EngineConnectionPool connections,
             EngineRegistry engines,
             Predicate<Engine> prefillsOnly,
-            CacheHoldLedger cacheHolds,
             Limits limits,
             ScheduledExecutorService timer) {}
 
@@ -111,6 +112,11 @@
         }
     }
 
+    /** A later attempt of the request begins; it releases what it leaves, and its first token frees all the rest. */
+    void supersede() {
+        superseded = true;
+    }
+
     /** Whether a repeat has come behind a sign of life of the engine, or there were enough. */
     private boolean isSettled() {
         boolean heard =
@@ -119,9 +125,7 @@
         return repeats >= most || repeats > 0 && heard;
     }
 
-    /** Not where a later prefill has left its own KV cache meanwhile: the release would free that one. */
     private void repeat() {
-        boolean superseded = shared.cacheHolds().isHeldAnew(requestId);
         repeats++;
         if (!superseded) {
             ask();
--- a/src/main/java/dunlinladder/transport/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineClient.java
@@ -9,19 +9,27 @@
 import dunlinladder.core.EngineTransport;
 import dunlinladder.core.Instruments;
 import dunlinladder.core.Limits;
+import dunlinladder.core.LruMap;
 import dunlinladder.core.ResponseSink;
 import dunlinladder.core.SendGuard;
+import java.util.Collections;
+import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** The engines over HTTP: sends attempts and releases. All methods may be called by any thread. */
 public final class EngineClient implements EngineTransport {
 
+    /** Releases that are remembered, so that a later attempt of their request stops their repeats. */
+    private static final int MAX_RELEASING = 1024;
+
     private final EngineCallContext context;
     private final CacheRelease.Shared releases;
     private final Counters counters;
     private final CacheHoldLedger cacheHolds;
     private final AtomicInteger openReleases = new AtomicInteger();
+    /** The latest release of each request, as far as memory goes; guarded by itself. */
+    private final Map<String, CacheRelease> releasing = Collections.synchronizedMap(new LruMap<>(MAX_RELEASING));
 
     /**
      * Creates a client.
@@ -40,12 +48,15 @@
         this.context = new EngineCallContext(connections, sendGuard, instruments.clock(), limits);
         this.counters = instruments.counters();
         this.cacheHolds = instruments.cacheHolds();
-        this.releases =
-                new CacheRelease.Shared(connections, engines, sendGuard::isPrefillOnly, cacheHolds, limits, timer);
+        this.releases = new CacheRelease.Shared(connections, engines, sendGuard::isPrefillOnly, limits, timer);
     }
 
     @Override
     public Call send(Attempt attempt, ResponseSink client, AttemptListener listener) {
+        CacheRelease earlier = releasing.remove(attempt.request().id());
+        if (earlier != null) {
+            earlier.supersede();
+        }
         EngineCall call = new EngineCall(context, attempt, client, listener);
         call.start(attempt.engine().address());
         return call;
@@ -55,7 +66,10 @@
     public void release(String id) {
         openReleases.incrementAndGet();
         counters.increment(Counter.RELEASES);
-        new CacheRelease(releases, id, cacheHolds.releaseBegun(id), taken -> releaseSettled(id, taken)).start();
+        CacheRelease release =
+                new CacheRelease(releases, id, cacheHolds.releaseBegun(id), taken -> releaseSettled(id, taken));
+        releasing.put(id, release);
+        release.start();
     }
 
     private void releaseSettled(String id, boolean taken) {
