Read again: one fact of a given-up attempt, one listen-queue filler, no orphaned processes

Behaviour of the program is unchanged. GivenUpAttempt carries whether its engine only prefills, which CacheRelease asked SendGuard for anew.

--- a/src/main/java/dunlinladder/core/CacheHoldLedger.java
+++ b/src/main/java/dunlinladder/core/CacheHoldLedger.java
@@ -37,12 +37,11 @@
         private boolean attemptConfirmed;
         private boolean releaseBegun;
         private boolean released;
-        /** Where the last attempt was given up, if it was: that engine hears of its end by a close alone. */
-        private final Optional<Engine> givenUpAt;
+        private final Optional<GivenUpAttempt> lastGivenUp;
 
-        Hold(double now, Optional<Engine> givenUpAt) {
+        Hold(double now, Optional<GivenUpAttempt> lastGivenUp) {
             waitingSince = now;
-            this.givenUpAt = givenUpAt;
+            this.lastGivenUp = lastGivenUp;
         }
 
         boolean isOverdue(double now, double allowedSeconds) {
@@ -110,7 +109,7 @@
             holds.remove(requestId);
         } else if (outcome.ending() == Outcome.Ending.PREFILLED || written && mayLeaveCache(attempt, outcome)) {
             boolean anew = reach == AttemptReach.CONFIRMED || !isWaiting(requestId);
-            holds.put(requestId, new Hold(anew ? now : holds.get(requestId).waitingSince, givenUpAt(attempt, outcome)));
+            holds.put(requestId, new Hold(anew ? now : holds.get(requestId).waitingSince, ifGivenUp(attempt, outcome)));
         } else if (holds.containsKey(requestId)) {
             goOn(attempt, outcome, reach, now);
         }
@@ -127,9 +126,9 @@
         return hold != null && !hold.releaseBegun;
     }
 
-    private static Optional<Engine> givenUpAt(Attempt attempt, Outcome outcome) {
+    private static Optional<GivenUpAttempt> ifGivenUp(Attempt attempt, Outcome outcome) {
         boolean givenUp = outcome.ending() == Outcome.Ending.TIMEOUT || outcome.ending() == Outcome.Ending.CANCELLED;
-        return givenUp ? Optional.of(attempt.engine()) : Optional.empty();
+        return givenUp ? Optional.of(new GivenUpAttempt(attempt.engine(), !attempt.mayHaveEffect())) : Optional.empty();
     }
 
     /**
@@ -144,23 +143,23 @@
             return;
         }
         boolean anew = hold.releaseBegun || reach == AttemptReach.CONFIRMED;
-        holds.put(requestId, new Hold(anew ? now : hold.waitingSince, givenUpAt(attempt, outcome)));
+        holds.put(requestId, new Hold(anew ? now : hold.waitingSince, ifGivenUp(attempt, outcome)));
     }
 
     /**
      * Engines are being asked to free what is held for a request.
      *
-     * @return the engine at which the last attempt was given up, if it was: as long as that engine has not heard of its
-     *     end it keeps the KV cache from a release
+     * @return the last attempt, if it was given up: as long as its engine has not heard of its end it keeps the KV
+     *     cache from a release
      */
-    public synchronized Optional<Engine> releaseBegun(String requestId) {
+    public synchronized Optional<GivenUpAttempt> releaseBegun(String requestId) {
         Hold hold = holds.get(requestId);
         if (hold == null) {
             return Optional.empty();
         }
         hold.releaseBegun = true;
         // Behind an attempt that is out a repeat could free what that one leaves.
-        return hold.attemptWritten ? Optional.empty() : hold.givenUpAt;
+        return hold.attemptWritten ? Optional.empty() : hold.lastGivenUp;
     }
 
     /** An engine has taken the release of what was held when it was begun. */
--- a/src/main/java/dunlinladder/core/InFlightRequest.java
+++ b/src/main/java/dunlinladder/core/InFlightRequest.java
@@ -48,7 +48,7 @@
     /** An attempt was begun; it is abandoned at once where the client has left meanwhile. */
     synchronized void begun(EngineTransport.Call started) {
         call = started;
-        if (disconnected || expired) {
+        if (isOver()) {
             started.abandon();
         }
     }
--- a/src/main/java/dunlinladder/core/SendGuard.java
+++ b/src/main/java/dunlinladder/core/SendGuard.java
@@ -44,7 +44,7 @@
     }
 
     /** Whether machines of the engine's kind only prefill. */
-    public boolean isPrefillOnly(Engine engine) {
+    boolean isPrefillOnly(Engine engine) {
         return rules.isPrefillOnly(engine.kind());
     }
 
--- a/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
@@ -120,18 +120,16 @@
         chatFront = chat.isPresent()
                 ? Optional.of(createChatFront(connectionsPerFront, chat.get().settings()))
                 : Optional.empty();
-        endpointUpdates = new EndpointUpdatePublisher(
-                engines,
-                router,
-                new EngineStartTimes(
-                        clock,
-                        wallClock,
-                        config.routing().rules().cold(),
-                        config.routing().rules().coldFrom()));
+        endpointUpdates = new EndpointUpdatePublisher(engines, router, createEngineStartTimes());
         endpointWatcher = createEndpointWatcher();
         sendGuard.setUnreadUpdateCheck(endpointWatcher::hasUnreadUpdate);
     }
 
+    private EngineStartTimes createEngineStartTimes() {
+        RoutingSettings.Rules rules = config.routing().rules();
+        return new EngineStartTimes(clock, wallClock, rules.cold(), rules.coldFrom());
+    }
+
     /** Reads the engines that a configuration lists itself, with all checks; empty where it lists none. */
     Optional<EndpointUpdate> readCachedEndpoints(GatewayConfig from) {
         return from.discovery().cachedList().map(list -> endpointListReader.read(list, true));
--- a/src/main/java/dunlinladder/transport/engine/CacheRelease.java
+++ b/src/main/java/dunlinladder/transport/engine/CacheRelease.java
@@ -2,6 +2,7 @@
 
 import dunlinladder.core.Engine;
 import dunlinladder.core.EngineRegistry;
+import dunlinladder.core.GivenUpAttempt;
 import dunlinladder.core.Limits;
 import dunlinladder.core.ReleaseOrder;
 import java.util.ArrayList;
@@ -11,7 +12,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,7 +42,7 @@
 
     private final Shared shared;
     private final String requestId;
-    private final Optional<Engine> givenUpAt;
+    private final Optional<GivenUpAttempt> givenUp;
     private final Consumer<Boolean> settledListener;
     private final long begunAt = System.nanoTime();
     /** Whether a later attempt of the request has begun: the release would free its KV cache. */
@@ -55,26 +55,21 @@
      * What all releases share.
      *
      * @param engines those that may be asked
-     * @param prefillsOnly whether an engine only prefills
      * @param timer has one thread
      */
     record Shared(
-            EngineConnectionPool connections,
-            EngineRegistry engines,
-            Predicate<Engine> prefillsOnly,
-            Limits limits,
-            ScheduledExecutorService timer) {}
+            EngineConnectionPool connections, EngineRegistry engines, Limits limits, ScheduledExecutorService timer) {}
 
     /**
      * Prepares a release.
      *
-     * @param givenUpAt where the request's last attempt was given up, if it was
+     * @param givenUp the request's last attempt, if it was given up
      * @param settledListener told once whether an engine has taken the release, by the first repeat at the latest
      */
-    CacheRelease(Shared shared, String requestId, Optional<Engine> givenUpAt, Consumer<Boolean> settledListener) {
+    CacheRelease(Shared shared, String requestId, Optional<GivenUpAttempt> givenUp, Consumer<Boolean> settledListener) {
         this.shared = shared;
         this.requestId = requestId;
-        this.givenUpAt = givenUpAt;
+        this.givenUp = givenUp;
         this.settledListener = settledListener;
     }
 
@@ -104,10 +99,10 @@
             schedule(this::ask, PAUSE_MILLIS);
             return;
         }
-        if (repeats == 1 || !taken && repeats == 0 || givenUpAt.isEmpty()) {
+        if (repeats == 1 || !taken && repeats == 0 || givenUp.isEmpty()) {
             settledListener.accept(taken);
         }
-        if (taken && givenUpAt.isPresent() && !isSettled()) {
+        if (taken && givenUp.isPresent() && !isSettled(givenUp.get())) {
             schedule(this::repeat, repeats == 0 ? PAUSE_MILLIS : REPEAT_MILLIS);
         }
     }
@@ -118,11 +113,10 @@
     }
 
     /** Whether a repeat has come behind a sign of life of the engine, or there were enough. */
-    private boolean isSettled() {
-        boolean heard =
-                shared.connections().wasHeardSince(givenUpAt.orElseThrow().address(), begunAt);
-        int most = shared.prefillsOnly().test(givenUpAt.orElseThrow()) ? MAX_PREFILL_REPEATS : MAX_REPEATS;
-        return repeats >= most || repeats > 0 && heard;
+    private boolean isSettled(GivenUpAttempt attempt) {
+        boolean heard = shared.connections().wasHeardSince(attempt.engine().address(), begunAt);
+        int maxRepeats = attempt.prefillOnly() ? MAX_PREFILL_REPEATS : MAX_REPEATS;
+        return repeats >= maxRepeats || repeats > 0 && heard;
     }
 
     private void repeat() {
--- a/src/main/java/dunlinladder/transport/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineClient.java
@@ -48,7 +48,7 @@
         this.context = new EngineCallContext(connections, sendGuard, instruments.clock(), limits);
         this.counters = instruments.counters();
         this.cacheHolds = instruments.cacheHolds();
-        this.releases = new CacheRelease.Shared(connections, engines, sendGuard::isPrefillOnly, limits, timer);
+        this.releases = new CacheRelease.Shared(connections, engines, limits, timer);
     }
 
     @Override
--- a/src/test/java/dunlinladder/it/FaultyLink.java
+++ b/src/test/java/dunlinladder/it/FaultyLink.java
@@ -8,9 +8,8 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
@@ -29,7 +28,6 @@
     private static final int LISTEN_QUEUE = 1;
     private static final int CONNECT_TIMEOUT_MILLIS = 100;
     private static final int BUFFER_BYTES = 4096;
-    private static final int MAX_FILLERS = 8;
 
     /** The ways of bytes through a link. */
     enum Direction {
@@ -41,32 +39,15 @@
     interface Observer {
 
         /** An attempt has come to the server's machine; {@code timeout} is what it states, in seconds. */
-        void sent(String id, double timeout);
+        default void sent(String id, double timeout) {}
 
         /** The first byte of its answer has left for the client. */
-        void answered(String id);
+        default void answered(String id) {}
 
         /** The client has closed the connection of an attempt before that. */
-        void givenUp(String id);
+        default void givenUp(String id) {}
     }
 
-    private static final Observer NOBODY = new Observer() {
-        @Override
-        public void sent(String id, double timeout) {
-            // Nobody asks.
-        }
-
-        @Override
-        public void answered(String id) {
-            // Nobody asks.
-        }
-
-        @Override
-        public void givenUp(String id) {
-            // Nobody asks.
-        }
-    };
-
     private static final Pattern ATTEMPT =
             Pattern.compile("X-Request-ID: ([0-9a-f]+)\r\n.*?X-Timeout: ([0-9.]+)\r\n", Pattern.DOTALL);
     private static final int MAX_REMEMBERED_CHARACTERS = 2048;
@@ -79,8 +60,8 @@
     private final Observer observer;
     private final ServerSocket listener = new ServerSocket(0, LISTEN_QUEUE, InetAddress.getLoopbackAddress());
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
-    /** Connections that keep the listen queue full while the link is cut. */
-    private final List<Socket> fillers = new ArrayList<>();
+    /** Of the thread that brings faults about; there while the link is cut. */
+    private Optional<FullListenQueue> fullQueue = Optional.empty();
     /** Both guarded by this object's monitor. */
     private final Set<Direction> silent = ConcurrentHashMap.newKeySet();
 
@@ -88,13 +69,13 @@
     private volatile double delaySeconds;
 
     FaultyLink(int serverPort) throws IOException {
-        this(serverPort, NOBODY);
+        this(serverPort, new Observer() {});
     }
 
     FaultyLink(int serverPort, Observer observer) throws IOException {
         this.observer = observer;
         server = new InetSocketAddress(InetAddress.getLoopbackAddress(), serverPort);
-        start(this::acceptAll);
+        SocketTask.start(this::acceptAll);
     }
 
     int port() {
@@ -116,21 +97,7 @@
             silent.addAll(Set.of(Direction.values()));
             accepting = false;
         }
-        while (fillers.size() < MAX_FILLERS && fillListenQueue()) {
-            // One more is in the queue.
-        }
-    }
-
-    private boolean fillListenQueue() throws IOException {
-        Socket socket = new Socket();
-        try {
-            socket.connect(listener.getLocalSocketAddress(), CONNECT_TIMEOUT_MILLIS);
-            fillers.add(socket);
-            return true;
-        } catch (SocketTimeoutException e) {
-            socket.close();
-            return false;
-        }
+        fullQueue = Optional.of(new FullListenQueue(listener, CONNECT_TIMEOUT_MILLIS));
     }
 
     /** The open connections fall silent, those that come are sound. */
@@ -140,10 +107,7 @@
 
     /** All that was written meanwhile arrives. */
     void restore() throws IOException {
-        for (Socket filler : fillers) {
-            filler.close();
-        }
-        fillers.clear();
+        emptyListenQueue();
         synchronized (this) {
             silent.clear();
             accepting = true;
@@ -152,6 +116,13 @@
         }
     }
 
+    private void emptyListenQueue() throws IOException {
+        if (fullQueue.isPresent()) {
+            fullQueue.get().close();
+        }
+        fullQueue = Optional.empty();
+    }
+
     /** Bytes take so long from now on. */
     void setDelay(double seconds) {
         delaySeconds = seconds;
@@ -194,26 +165,10 @@
             Socket client = listener.accept();
             Connection connection = new Connection(client);
             connections.add(connection);
-            start(connection::open);
+            SocketTask.start(connection::open);
         }
     }
 
-    private interface Task {
-        void run() throws IOException, InterruptedException;
-    }
-
-    private static void start(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException | InterruptedException e) {
-                // A side has closed the connection, or the link was closed.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     /** One connection from a client through the link. */
     private final class Connection {
         private final Socket client;
@@ -230,7 +185,7 @@
 
         void open() throws IOException, InterruptedException {
             client.setTcpNoDelay(true);
-            start(this::readClient);
+            SocketTask.start(this::readClient);
             awaitPassage(this, Direction.TO_SERVER);
             try {
                 onward.connect(server);
@@ -239,7 +194,7 @@
                 return;
             }
             onward.setTcpNoDelay(true);
-            start(this::passToClient);
+            SocketTask.start(this::passToClient);
             passToServer();
         }
 
@@ -335,9 +290,7 @@
     @Override
     public void close() throws IOException {
         listener.close();
-        for (Socket filler : fillers) {
-            filler.close();
-        }
+        emptyListenQueue();
         connections.forEach(connection -> {
             reset(connection.client);
             reset(connection.onward);
--- a/src/test/java/dunlinladder/it/SoakFaults.java
+++ b/src/test/java/dunlinladder/it/SoakFaults.java
@@ -153,9 +153,9 @@
 
     private void stopEngine(SoakFleet.Engine engine, double seconds) {
         if (engine.claim()) {
-            engine.process.signal("STOP");
+            SoakSilence.FROZEN.begin(engine);
             pause(seconds);
-            engine.process.signal("CONT");
+            SoakSilence.FROZEN.end(engine);
             engine.release();
         }
     }
--- a/src/test/java/dunlinladder/it/SoakProcess.java
+++ b/src/test/java/dunlinladder/it/SoakProcess.java
@@ -23,6 +23,13 @@
     private static final int READY_SECONDS = 20;
     private static final String PORT_MARK = "port";
 
+    static {
+        // Whatever ends the run, its processes end with it.
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(() -> ProcessHandle.current().children().forEach(ProcessHandle::destroyForcibly)));
+    }
+
     final Process process;
     /** The port that it has printed. */
     final int port;
--- a/src/test/java/dunlinladder/it/SoakRecord.java
+++ b/src/test/java/dunlinladder/it/SoakRecord.java
@@ -1,6 +1,5 @@
 package dunlinladder.it;
 
-import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
@@ -82,12 +81,4 @@
     boolean wasHeldUp(int gateway, long from, long until) {
         return holdUps.stream().anyMatch(holdUp -> holdUp.gateway() == gateway && holdUp.overlaps(from, until));
     }
-
-    /** All events of one request in the order of their times. */
-    List<SoakEvent> eventsOf(String requestId) {
-        return events.stream()
-                .filter(event -> event.requestId().equals(requestId))
-                .sorted((one, other) -> Long.compare(one.nanos(), other.nanos()))
-                .toList();
-    }
 }
--- a/src/test/java/dunlinladder/it/StubServer.java
+++ b/src/test/java/dunlinladder/it/StubServer.java
@@ -61,31 +61,15 @@
 
     StubServer(Role role) throws IOException {
         this.role = role;
-        start(() -> {
+        SocketTask.start(() -> {
             while (true) {
                 Socket socket = listener.accept();
                 sockets.add(socket);
-                start(() -> serve(socket));
+                SocketTask.start(() -> serve(socket));
             }
         });
     }
 
-    private interface Task {
-        void run() throws IOException, InterruptedException;
-    }
-
-    private static void start(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException | InterruptedException e) {
-                // The other side closed the connection, or the test is over.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     int port() {
         return listener.getLocalPort();
     }
--- a/src/test/java/dunlinladder/routing/Fleet.java
+++ b/src/test/java/dunlinladder/routing/Fleet.java
@@ -260,16 +260,7 @@
     }
 
     void outcome(String id, Status status, double note, boolean closed) {
-        handle(new RoutingEvent.AttemptEnded(
-                id,
-                attempts.get(id) - 1,
-                latest.get(id).engine(),
-                status,
-                now - sentAt.get(id),
-                closed,
-                note,
-                Map.of(),
-                status.mayHaveArrived()));
+        end(id, status, closed, note, Map.of(), status.mayHaveArrived());
     }
 
     void confirmationOverdue(String id) {
@@ -278,30 +269,26 @@
 
     /** Ends an attempt of which it is not known whether it has reached its engine. */
     void notArrived(String id, Status status) {
-        handle(new RoutingEvent.AttemptEnded(
-                id,
-                attempts.get(id) - 1,
-                latest.get(id).engine(),
-                status,
-                now - sentAt.get(id),
-                false,
-                0,
-                Map.of(),
-                false));
+        end(id, status, false, 0, Map.of(), false);
     }
 
     /** Ends an attempt for good with a load report. */
     void reported(String id, Status status, Map<String, Double> report) {
+        end(id, status, true, 0, report, true);
+    }
+
+    private void end(
+            String id, Status status, boolean closed, double note, Map<String, Double> report, boolean arrived) {
         handle(new RoutingEvent.AttemptEnded(
                 id,
                 attempts.get(id) - 1,
                 latest.get(id).engine(),
                 status,
                 now - sentAt.get(id),
-                true,
-                0,
+                closed,
+                note,
                 report,
-                true));
+                arrived));
     }
 
     /** Plays a request to its good end. */
