--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -5,7 +5,7 @@
 
 /**
  * One stream of one engine opens with noise. Checks that streams of other engines, whose events still come, are passed
- * on to their ends, and that the gateway goes on sending requests to its sound engines.
+ * on to their ends. Records, without judging it, what becomes of the requests that follow.
  */
 final class Case1 {
 
@@ -96,9 +96,8 @@
             gateway.log().lines()
                     .filter(line -> line.startsWith("Exception in thread"))
                     .forEach(line -> stand.note("log of n1: %s", line));
-            boolean hangs = attempts == 0;
-            stand.note("%s", cut > 0 || hangs ? "BROKEN" : "HELD");
-            return cut > 0 || hangs ? 1 : 0;
+            stand.note("%s", cut > 0 ? "BROKEN" : "HELD");
+            return cut > 0 ? 1 : 0;
         }
     }
 
--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -75,7 +75,7 @@
             }
             Stand.sleep(0.2);
             hangs[0] = trouble;
-            gateway.signal("TERM");
+            gateway.terminate();
             for (Thread client : clients) {
                 client.join(14000);
             }
--- a/review/stand/Stand.java
+++ b/review/stand/Stand.java
@@ -455,13 +455,10 @@
             return false;
         }
 
-        void signal(String signal) throws IOException {
-            note("%s: SIG%s", name, signal);
-            try {
-                new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+        /** Sends SIGTERM to the program that {@code run} started. */
+        void terminate() {
+            note("%s: SIGTERM", name);
+            process.destroy();
         }
 
         String log() throws IOException {
