Review: the engine of case 2 that hangs answers no release either

Need: a process that hangs answers nothing; the stand-in still answered releases. Its check is unchanged.

--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * A gateway is told to end while one of its four engines hangs. Checks that no request of a keyed class, whose repeats
@@ -34,10 +35,15 @@
             stand.new Engine("reader-1", "prompt", 1);
             stand.new Engine("reader-2", "prompt", 2);
             Set<String> mayHaveRun = ConcurrentHashMap.newKeySet();
-            boolean[] hangs = {false};
+            AtomicBoolean hangs = new AtomicBoolean();
             for (int i = 1; i <= 2; i++) {
                 Stand.Engine writer = stand.new Engine("writer-" + i, "answer", i);
                 writer.behaviour = (engine, request, socket) -> {
+                    if (hangs.get() && engine.name.equals("writer-1")) {
+                        // A process that hangs answers nothing, releases included.
+                        Stand.sleep(60);
+                        return true;
+                    }
                     if (!request.method().equals("POST") || request.id().startsWith("first-")) {
                         return false;
                     }
@@ -49,7 +55,7 @@
                     stand.note("%s: runs %s", engine.name, request.id());
                     // The first token comes after 0.8 s; a process that hangs by then writes nothing more.
                     Stand.sleep(0.8);
-                    if (hangs[0] && engine.name.equals("writer-1")) {
+                    if (hangs.get() && engine.name.equals("writer-1")) {
                         stand.note("%s: hangs, with %s run and not answered", engine.name, request.id());
                         Stand.sleep(60);
                     }
@@ -74,7 +80,7 @@
                 Stand.sleep(0.03);
             }
             Stand.sleep(0.2);
-            hangs[0] = trouble;
+            hangs.set(trouble);
             gateway.terminate();
             for (Thread client : clients) {
                 client.join(14000);
