--- a/src/main/java/dunlinladder/transport/json/JsonObject.java
+++ b/src/main/java/dunlinladder/transport/json/JsonObject.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -22,7 +23,15 @@
  */
 public record JsonObject(String where, Map<String, Object> fields) {
 
-    static final JsonFactory FACTORY = new JsonFactory();
+    /** Maximum nesting depth of a text. It bounds the memory of a text that consists of opening brackets. */
+    public static final int MAX_NESTING_DEPTH = 1000;
+
+    static final JsonFactory FACTORY = JsonFactory.builder()
+            .streamReadConstraints(nestedAtMost(MAX_NESTING_DEPTH))
+            .build();
+
+    /** Maximum nesting depth of a TOML document. It bounds the stack, because Jackson's TOML parser is recursive. */
+    private static final int MAX_TOML_NESTING_DEPTH = 100;
 
     /** Maximum number of characters of an invalid text that an error message shows. */
     private static final int MAX_SHOWN_CHARACTERS = 80;
@@ -32,6 +41,10 @@
      */
     private static final double MAX_SHOWN_AS_INTEGER = 1e15;
 
+    private static StreamReadConstraints nestedAtMost(int depth) {
+        return StreamReadConstraints.builder().maxNestingDepth(depth).build();
+    }
+
     /**
      * Parses a line that holds exactly one object.
      *
@@ -45,7 +58,7 @@
      * Parses a text that holds exactly one object.
      *
      * @param where the name of the text in error messages about its fields
-     * @throws InvalidInputException if the text holds anything else
+     * @throws InvalidInputException if the text holds anything else, or is nested over {@link #MAX_NESTING_DEPTH} deep
      */
     public static JsonObject parse(String text, String where) {
         try (JsonParser parser = FACTORY.createParser(text)) {
@@ -65,10 +78,13 @@
     /**
      * Parses a TOML document into the same form.
      *
-     * @throws InvalidInputException if the text is not valid TOML
+     * @throws InvalidInputException if the text is not valid TOML, or is nested too deeply
      */
     public static JsonObject parseToml(String text) {
-        try (JsonParser parser = new TomlFactory().createParser(text)) {
+        TomlFactory factory = TomlFactory.builder()
+                .streamReadConstraints(nestedAtMost(MAX_TOML_NESTING_DEPTH))
+                .build();
+        try (JsonParser parser = factory.createParser(text)) {
             parser.nextToken();
             return new JsonObject("file", JsonValueReader.object(parser));
         } catch (IOException e) {
--- a/src/test/java/dunlinladder/it/ChatFrontTest.java
+++ b/src/test/java/dunlinladder/it/ChatFrontTest.java
@@ -124,6 +124,27 @@
         }
     }
 
+    /**
+     * Guards against a client's body of nested brackets that ends the front's I/O thread, with the connections of all
+     * clients.
+     */
+    @Test
+    void keepsOtherConnectionsWhenABodyIsNestedTooDeeply() throws Exception {
+        try (TestClient other = CHAT.connect();
+                TestClient client = CHAT.connect()
+                        .send(
+                                "POST",
+                                "/v1/chat/completions",
+                                ChatGatewayExtension.BEARER_KEY,
+                                "{\"model\":" + "[".repeat(2000))) {
+            assertTrue(client.readHead());
+            assertEquals(400, client.status);
+            assertTrue(other.send("GET", "/v1/models", ChatGatewayExtension.BEARER_KEY, "")
+                    .readHead());
+            assertEquals(200, other.status);
+        }
+    }
+
     /**
      * Requests with various faults are mixed: each client gets one terminal outcome, and no listing runs twice at
      * decode engines.
--- a/src/test/java/dunlinladder/it/PlatformRulesTest.java
+++ b/src/test/java/dunlinladder/it/PlatformRulesTest.java
@@ -135,6 +135,36 @@
         assertEquals(1, gateway.decodeRequestCount("POST", fault));
     }
 
+    /**
+     * Guards against one engine's malformed event that ends all other streams and, from then on, all traffic to
+     * engines: an event of 2,000 opening brackets overflowed the stack of the thread that serves all engines.
+     */
+    @Test
+    void keepsOtherStreamsWhenAnEventIsNestedTooDeeply() throws Exception {
+        List<TestClient> streaming = new ArrayList<>();
+        try {
+            for (int i = 0; i < 4; i++) {
+                TestClient client = gateway.post(RunningGateway.nextRequestId(), "lookup", "4.0", "in steps");
+                streaming.add(client);
+                assertTrue(client.readHead());
+            }
+            try (TestClient client = gateway.post(requestId, "listing", "5.0", "spoilt nesting")) {
+                assertTrue(client.readHead());
+                assertEquals(502, client.status);
+            }
+            gateway.confirmEvents(Integer.MAX_VALUE);
+            for (TestClient client : streaming) {
+                assertTrue(client.readBody().endsWith("data: [DONE]\n\n"));
+            }
+            assertEquals(200, lookupStatus());
+        } finally {
+            for (TestClient client : streaming) {
+                client.close();
+            }
+        }
+        assertEquals(1, gateway.decodeRequestCount("POST", "spoilt nesting"));
+    }
+
     /** Engines that close idle connections when the next request arrives on them make at most one request fail. */
     @Test
     void losesAtMostOneRequestWhenIdleConnectionsBreakOnReuse() throws Exception {
--- a/src/test/java/dunlinladder/it/RunningGateway.java
+++ b/src/test/java/dunlinladder/it/RunningGateway.java
@@ -26,6 +26,8 @@
     private static final int TEST_JAR_DESCRIPTORS = 40;
 
     private static final int DEFAULT_DESCRIPTOR_LIMIT = 1024;
+    /** The stack size of threads that deploy/run.sh sets. */
+    private static final String THREAD_STACK_OPTION = "-Xss256k";
 
     static final String SETTINGS = """
             {"balancers":1,"caps":{"cancel":true,"connect-timeout":0.25,"keepalive":30.0,"max-attempts":4,
@@ -181,6 +183,7 @@
                 "ulimit -n " + (descriptorLimit + TEST_JAR_DESCRIPTORS) + " && exec \"$0\" \"$@\"",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx64m",
+                THREAD_STACK_OPTION,
                 "-cp",
                 System.getProperty("java.class.path"),
                 "dunlinladder.lifecycle.Main",
--- a/src/test/java/dunlinladder/it/StubAnswer.java
+++ b/src/test/java/dunlinladder/it/StubAnswer.java
@@ -23,6 +23,7 @@
     private static final int LONG_EVENT_CHARACTERS = 8000;
     private static final int ENDLESS_HEADER_LINES = 5000;
     private static final int FAILING_EVENT_INDEX = 5;
+    private static final int OPENING_BRACKETS = 2000;
     /** Matches the place between two events, so that each event keeps its closing empty line. */
     private static final String EVENT_BOUNDARY = "(?<=\n\n)";
 
@@ -118,6 +119,10 @@
             RawHttp.writeChunk(out, "\u0001\u0002 noise\n\n");
             return awaitClose();
         }
+        if (body.contains("spoilt nesting")) {
+            RawHttp.writeChunk(out, "data: {\"a\":" + "[".repeat(OPENING_BRACKETS) + "\n\n");
+            return awaitClose();
+        }
         RawHttp.writeChunk(out, delta("one", "null"));
         if (body.contains("spoilt ")) {
             RawHttp.write(out, malformedChunk());
