--- a/src/main/java/dunlinladder/core/AttemptHistory.java
+++ b/src/main/java/dunlinladder/core/AttemptHistory.java
@@ -18,6 +18,9 @@
 
     private final List<Entry> entries = new ArrayList<>(INITIAL_CAPACITY);
 
+    /** An attempt that may have had an effect: its engine, and the clock time of its send in seconds. */
+    record PossibleRun(Engine engine, double sentAt) {}
+
     /** An attempt; times are clock times in seconds, and {@code outcome} is null until the attempt has ended. */
     private static final class Entry {
         final Attempt attempt;
@@ -64,6 +67,14 @@
         return entries.stream().anyMatch(Entry::mayHaveRun);
     }
 
+    /** Returns the attempts that may have had an effect, in the order of their sends. */
+    List<PossibleRun> possibleRuns() {
+        return entries.stream()
+                .filter(Entry::mayHaveRun)
+                .map(entry -> new PossibleRun(entry.attempt.engine(), entry.sentAt))
+                .toList();
+    }
+
     /** Returns the outcome of the last attempt; empty when there was no attempt or the last one is in flight. */
     public Optional<Outcome> lastOutcome() {
         return entries.isEmpty() ? Optional.empty() : Optional.ofNullable(last().outcome);
--- a/src/main/java/dunlinladder/core/AttemptRunner.java
+++ b/src/main/java/dunlinladder/core/AttemptRunner.java
@@ -146,13 +146,15 @@
         double maxDeadline = request.request().deadline() - settings.answerMarginSeconds();
         double firstTokenDeadline =
                 forward.timeout() > 0 ? Math.min(maxDeadline, clock.now() + forward.timeout()) : maxDeadline;
+        boolean mayHaveEffect = listed.isEmpty() || !guard.isPrefillOnly(listed.get());
         return new Attempt(
                 request.request(),
                 request.history().size(),
                 listed.orElseGet(() -> Engine.unlisted(forward.engine())),
                 firstTokenDeadline,
+                guard.latestSend(request.request(), request.history(), mayHaveEffect),
                 cacheHolds.arrivalDeadlines(request.request().id()),
-                listed.isEmpty() || !guard.isPrefillOnly(listed.get()));
+                mayHaveEffect);
     }
 
     /** Starts an attempt; returns empty when that failed and nothing was sent. */
--- a/src/main/java/dunlinladder/core/Engine.java
+++ b/src/main/java/dunlinladder/core/Engine.java
@@ -26,6 +26,11 @@
         LEFT
     }
 
+    /** Returns the failure domains of this engine. */
+    RerunRule.Location location() {
+        return new RerunRule.Location(zone, cell);
+    }
+
     /** Returns a copy of this engine with another start time. */
     Engine withStartedAt(double seconds) {
         return new Engine(id, address, zone, kind, cell, state, weight, seconds);
--- a/src/main/java/dunlinladder/core/SendGuard.java
+++ b/src/main/java/dunlinladder/core/SendGuard.java
@@ -55,7 +55,8 @@
      * @param cancelled whether no further attempt may be sent: the client has left, or the request has expired
      */
     Optional<SendRefusal> refusalToBegin(Attempt attempt, AttemptHistory history, boolean cancelled) {
-        if (attempt.mayHaveEffect() && rules.forbidsRerun(attempt.request(), history)) {
+        RerunRule rule = rules.rerunRule(attempt.request().serviceClass());
+        if (attempt.mayHaveEffect() && !rule.allowsRerun(history, attempt.engine(), clock.now())) {
             return refuse(SendRefusal.RERUN_FORBIDDEN);
         }
         if (cancelled) {
@@ -76,18 +77,30 @@
         if (attemptEnded.getAsBoolean()) {
             return refuse(SendRefusal.CLIENT_GONE);
         }
-        if (clock.now() >= Math.min(attempt.arrival().written(), attempt.firstTokenDeadline())) {
+        double now = clock.now();
+        if (now >= Math.min(attempt.arrival().written(), attempt.firstTokenDeadline()) || now > attempt.latestSend()) {
             return refuse(SendRefusal.TOO_LATE);
         }
         return engines.accepts(attempt.engine()) ? Optional.empty() : refuse(SendRefusal.ENGINE_NOT_ADMITTED);
     }
 
     /**
-     * Whether a request may be rejected. A rejection promises that a retry is harmless, so it is forbidden when the
-     * facts of the attempts do not guarantee that; such a refusal is counted.
+     * Returns the clock time in seconds until which an attempt may be sent without running the request twice against
+     * the rule of its class.
+     *
+     * @param history the request's attempts before this one
+     * @param mayHaveEffect whether the attempt can have an effect
+     */
+    double latestSend(Request request, AttemptHistory history, boolean mayHaveEffect) {
+        return mayHaveEffect ? rules.rerunRule(request.serviceClass()).latestRerun(history) : Double.POSITIVE_INFINITY;
+    }
+
+    /**
+     * Whether a request may be rejected. A rejection promises that a retry is harmless at whatever engine, so it is
+     * forbidden when the facts of the attempts do not guarantee that; such a refusal is counted.
      */
     boolean allowsRejection(Request request, AttemptHistory history) {
-        if (rules.forbidsRerun(request, history)) {
+        if (history.mayHaveRun() && !rules.rerunRule(request.serviceClass()).allowsClientRetry()) {
             counters.increment(Counter.REJECTIONS_REFUSED);
             return false;
         }
--- a/src/main/java/dunlinladder/lifecycle/ChatConfigReader.java
+++ b/src/main/java/dunlinladder/lifecycle/ChatConfigReader.java
@@ -49,7 +49,7 @@
                 tenantsBySecret(settings, config.names().tenants(), environment),
                 models(settings, config.names().classes()),
                 deadlines(settings, config),
-                nonIdempotentClasses(config.routing()),
+                clientRetryHarmless(config.routing()),
                 generations,
                 MigrationConfigReader.readPlan(settings, generations).orElse(null),
                 unknownFields(settings));
@@ -94,10 +94,10 @@
                 .toList();
     }
 
-    /** Returns, by service class, whether a request must never run twice. */
-    private static List<Boolean> nonIdempotentClasses(RoutingSettings routing) {
+    /** Returns, by service class, whether a client may retry a request that may have run. */
+    private static List<Boolean> clientRetryHarmless(RoutingSettings routing) {
         return routing.classes().stream()
-                .map(serviceClass -> serviceClass.idempotence() == RoutingSettings.Idempotence.UNSAFE)
+                .map(serviceClass -> serviceClass.rerunRule().allowsClientRetry())
                 .toList();
     }
 
--- a/src/main/java/dunlinladder/lifecycle/ConfiguredServiceRules.java
+++ b/src/main/java/dunlinladder/lifecycle/ConfiguredServiceRules.java
@@ -1,5 +1,6 @@
 package dunlinladder.lifecycle;
 
+import dunlinladder.core.RerunRule;
 import dunlinladder.core.ServiceRules;
 import dunlinladder.routing.RoutingSettings;
 
@@ -13,8 +14,8 @@
     }
 
     @Override
-    public boolean isNonIdempotent(int serviceClass) {
-        return settings.classes().get(serviceClass).idempotence() == RoutingSettings.Idempotence.UNSAFE;
+    public RerunRule rerunRule(int serviceClass) {
+        return settings.classes().get(serviceClass).rerunRule();
     }
 
     @Override
--- a/src/main/java/dunlinladder/routing/EngineState.java
+++ b/src/main/java/dunlinladder/routing/EngineState.java
@@ -1,5 +1,6 @@
 package dunlinladder.routing;
 
+import dunlinladder.core.RerunRule;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -90,6 +91,10 @@
         return endpoint.cell();
     }
 
+    RerunRule.Location location() {
+        return new RerunRule.Location(zone(), rack());
+    }
+
     /** Stores the load report of an answer; an empty report is ignored. */
     void receiveReport(Map<String, Double> report, double now) {
         if (!report.isEmpty()) {
--- a/src/main/java/dunlinladder/routing/RetryPolicy.java
+++ b/src/main/java/dunlinladder/routing/RetryPolicy.java
@@ -2,7 +2,6 @@
 
 import dunlinladder.routing.AttemptState.Stage;
 import dunlinladder.routing.RequestState.PossibleRun;
-import dunlinladder.routing.RoutingSettings.DeduplicationScope;
 import dunlinladder.routing.RoutingSettings.Idempotence;
 
 /** Decides whether and where a request may be retried, and how long an attempt may take. */
@@ -46,17 +45,16 @@
     /** Whether no further attempt is allowed or can help. */
     boolean isExhausted(RequestState request) {
         boolean mayNotRunAgain = request.possibleRun
-                .filter(run -> request.has(Idempotence.UNSAFE)
-                        || request.has(Idempotence.KEYED) && isKeyExpired(request, run, 0))
+                .filter(run -> request.has(Idempotence.UNSAFE) || isWindowOver(request, run, 0))
                 .isPresent();
         return mayNotRunAgain
                 || context.now > request.details.expires() - DEADLINE_MARGIN_SECONDS
                 || attemptsLeft(request) <= 0;
     }
 
-    /** Whether the deduplication window of a possible run has ended, or will end within {@code margin} seconds. */
-    private boolean isKeyExpired(RequestState request, PossibleRun run, double margin) {
-        return context.now - run.sentAt() > request.serviceClass.deduplicationWindow() - margin;
+    /** Whether the window for repeats of a possible run has ended, or will end within {@code margin} seconds. */
+    private boolean isWindowOver(RequestState request, PossibleRun run, double margin) {
+        return context.now - run.sentAt() > request.serviceClass.rerunRule().windowSeconds() - margin;
     }
 
     /**
@@ -70,21 +68,13 @@
             return true;
         }
         PossibleRun run = request.possibleRun.get();
-        if (request.has(Idempotence.UNSAFE) || isKeyExpired(request, run, RECHECK_INTERVAL_SECONDS)) {
-            return false;
-        }
-        return switch (request.serviceClass.deduplicationScope()) {
-            case ALL -> true;
-            case ZONE -> engine.zone() == run.engine().zone();
-            case CELL -> engine.rack() == run.engine().rack();
-        };
+        return !isWindowOver(request, run, RECHECK_INTERVAL_SECONDS)
+                && request.serviceClass.rerunRule().covers(run.engine().location(), engine.location());
     }
 
     /** Whether a final answer may promise that a retry by the client is harmless. */
     boolean isClientRetryHarmless(RequestState request) {
-        boolean deduplicatedEverywhere =
-                request.has(Idempotence.KEYED) && request.serviceClass.deduplicationScope() == DeduplicationScope.ALL;
-        return request.possibleRun.isEmpty() || request.has(Idempotence.SAFE) || deduplicatedEverywhere;
+        return request.possibleRun.isEmpty() || request.serviceClass.rerunRule().allowsClientRetry();
     }
 
     /** Returns the timeout of an attempt in seconds; 0 (the client's deadline) if no retry could follow in time. */
--- a/src/main/java/dunlinladder/routing/RoutingSettings.java
+++ b/src/main/java/dunlinladder/routing/RoutingSettings.java
@@ -1,5 +1,6 @@
 package dunlinladder.routing;
 
+import dunlinladder.core.RerunRule;
 import java.util.List;
 
 /**
@@ -47,9 +48,15 @@
 
     /** The engines that drop repeats of a keyed request: all, those of a zone, or those of a rack. */
     public enum DeduplicationScope {
-        ALL,
-        ZONE,
-        CELL
+        ALL(RerunRule.Scope.ALL),
+        ZONE(RerunRule.Scope.ZONE),
+        CELL(RerunRule.Scope.CELL);
+
+        private final RerunRule.Scope rerunScope;
+
+        DeduplicationScope(RerunRule.Scope rerunScope) {
+            this.rerunScope = rerunScope;
+        }
     }
 
     /**
@@ -72,7 +79,17 @@
             DeduplicationScope deduplicationScope,
             double deduplicationWindow,
             double priorityWeight,
-            double latePriorityWeight) {}
+            double latePriorityWeight) {
+
+        /** Returns where and until when a request of this class may run again after an attempt that may have run. */
+        public RerunRule rerunRule() {
+            return switch (idempotence) {
+                case SAFE -> RerunRule.UNRESTRICTED;
+                case KEYED -> new RerunRule(deduplicationScope.rerunScope, deduplicationWindow);
+                case UNSAFE -> RerunRule.FORBIDDEN;
+            };
+        }
+    }
 
     /**
      * The rules of the deployment, with times in seconds; the names are those of the settings.
--- a/src/main/java/dunlinladder/transport/chat/ChatExchange.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatExchange.java
@@ -122,7 +122,7 @@
         Collection<ApiFormat> engineFormats = context.eligibility.formats();
         client = ClientRequest.read(format, content, engineFormats, context.settings, tenant);
         relay = new ChatReplyRelay(client, context.clock, this::openOutput);
-        engineRequest = new ChatEngineRequest(context, client, !isNonIdempotent());
+        engineRequest = new ChatEngineRequest(context, client, isClientRetryHarmless());
         engineRequest.checkExpressible(engineFormats, earliestSentAt);
         int serviceClass = client.details().model().serviceClass();
         submit(
@@ -138,8 +138,10 @@
                 this);
     }
 
-    private boolean isNonIdempotent() {
-        return context.settings.nonIdempotent().get(client.details().model().serviceClass());
+    private boolean isClientRetryHarmless() {
+        return context.settings
+                .clientRetryHarmless()
+                .get(client.details().model().serviceClass());
     }
 
     @Override
@@ -286,10 +288,10 @@
 
     /**
      * Answers with an error. Client libraries retry after a 5xx status by themselves, so a request that must not run
-     * twice gets a header that prevents the retry.
+     * again at whatever engine gets a header that prevents the retry.
      */
     private void fail(ChatError error) {
-        answer(error, isNonIdempotent() ? Map.of(SHOULD_RETRY_HEADER, "false") : Map.of());
+        answer(error, isClientRetryHarmless() ? Map.of() : Map.of(SHOULD_RETRY_HEADER, "false"));
     }
 
     private void answer(ChatError error, Map<String, String> headers) {
--- a/src/main/java/dunlinladder/transport/chat/ChatSettings.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatSettings.java
@@ -13,7 +13,7 @@
  * @param tenants index of the tenant by API key
  * @param models settings of each model by its name
  * @param deadlines seconds within which the first token must come, by service class
- * @param nonIdempotent whether a request must never run twice, by service class
+ * @param clientRetryHarmless whether a client may retry a request that may have run, by service class
  * @param generations the generations of engines, in the order in which an engine is matched against them
  * @param migrationPlan the plan of a migration between two of these generations, null if there is none
  * @param unknownFields what to do with fields that the client's format does not define
@@ -22,7 +22,7 @@
         Map<String, Integer> tenants,
         Map<String, Model> models,
         List<Double> deadlines,
-        List<Boolean> nonIdempotent,
+        List<Boolean> clientRetryHarmless,
         List<Generation> generations,
         MigrationPlan migrationPlan,
         RequestTranslator.UnknownFields unknownFields) {
--- a/src/test/java/dunlinladder/core/AttemptHistoryTest.java
+++ b/src/test/java/dunlinladder/core/AttemptHistoryTest.java
@@ -15,7 +15,13 @@
     private static Attempt attempt(int number, String engine, boolean mayHaveEffect) {
         Request request = RequestBuilder.request("id").build();
         return new Attempt(
-                request, number, EngineBuilder.engine(engine).build(), 10, ArrivalDeadlines.NONE, mayHaveEffect);
+                request,
+                number,
+                EngineBuilder.engine(engine).build(),
+                10,
+                Double.POSITIVE_INFINITY,
+                ArrivalDeadlines.NONE,
+                mayHaveEffect);
     }
 
     @Test
--- a/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
+++ b/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
@@ -17,7 +17,14 @@
     private final Request request = RequestBuilder.request("id").build();
 
     private Attempt attempt(boolean mayHaveEffect) {
-        return new Attempt(request, 0, EngineBuilder.engine("e").build(), 100, ArrivalDeadlines.NONE, mayHaveEffect);
+        return new Attempt(
+                request,
+                0,
+                EngineBuilder.engine("e").build(),
+                100,
+                Double.POSITIVE_INFINITY,
+                ArrivalDeadlines.NONE,
+                mayHaveEffect);
     }
 
     private void prefill(Ending ending, AttemptReach reach) {
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -24,13 +24,22 @@
 
     private static final int IDEMPOTENT = 0;
     private static final int NON_IDEMPOTENT = 1;
+    private static final int KEYED_BY_CELL = 2;
+    private static final int KEYED_EVERYWHERE = 3;
+    /** The rules of the classes above, by their number. */
+    private static final List<RerunRule> RERUN_RULES = List.of(
+            RerunRule.UNRESTRICTED,
+            RerunRule.FORBIDDEN,
+            new RerunRule(RerunRule.Scope.CELL, 60),
+            new RerunRule(RerunRule.Scope.ALL, 60));
+
     private static final int PREFILL_KIND = 0;
     private static final int DECODE_KIND = 1;
     private static final int MIXED_KIND = 2;
     private static final ServiceRules RULES = new ServiceRules() {
         @Override
-        public boolean isNonIdempotent(int serviceClass) {
-            return serviceClass == NON_IDEMPOTENT;
+        public RerunRule rerunRule(int serviceClass) {
+            return RERUN_RULES.get(serviceClass);
         }
 
         @Override
@@ -206,6 +215,10 @@
         "1, m1 TIMEOUT, fail",
         "1, m1 RESET r1 PREFILLED, fail",
         "1, m1 FULL r1 TIMEOUT, reject",
+        "2, r1 PREFILLED w1 TIMEOUT, fail",
+        "2, m1 CANCELLED, fail",
+        "2, m1 FULL r1 TIMEOUT, reject",
+        "3, m1 TIMEOUT, reject",
         "0, m1 TIMEOUT, reject",
         "0, r1 PREFILLED w1 RESET, reject"
     })
@@ -221,6 +234,46 @@
         assertEquals(List.of(answer), answers);
     }
 
+    /**
+     * Guards against a refusal at shutdown, which promises that a retry is harmless, of a request that a hanging engine
+     * may run and that may run again only in that engine's cell.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        IDEMPOTENT + ", reject",
+        NON_IDEMPOTENT + ", fail",
+        KEYED_BY_CELL + ", fail",
+        KEYED_EVERYWHERE + ", reject"
+    })
+    void rejectsAnExpiredRequestOnlyWhenEveryEngineMayRunItAgain(int serviceClass, String answer) {
+        updateEngines(Engine.State.ACTIVE, "m1");
+        decisions.addAll(List.of(new RoutingDecision.Forward("m1", 0), new RoutingDecision.Discard()));
+        endings.add(Ending.CANCELLED);
+        whileInFlight = () -> dispatcher.expireRequests();
+        submit(serviceClass);
+        assertEquals(List.of("disconnected", answer), answers);
+    }
+
+    /** Guards against a rerun at an engine that does not know the key of the request. */
+    @Test
+    void resendsAKeyedRequestOnlyWithinItsCell() {
+        engines.apply(
+                RequestRouter.Scope.CHANGES,
+                List.of(
+                        EngineBuilder.engine("m1").kind(MIXED_KIND).cell(1).build(),
+                        EngineBuilder.engine("m2").kind(MIXED_KIND).cell(2).build(),
+                        EngineBuilder.engine("m3").kind(MIXED_KIND).cell(1).build()));
+        decisions.addAll(List.of(
+                new RoutingDecision.Forward("m1", 0),
+                new RoutingDecision.Forward("m2", 0),
+                new RoutingDecision.Forward("m3", 0)));
+        endings.addAll(List.of(Ending.RESET, Ending.OK));
+        submit(KEYED_BY_CELL);
+        assertEquals(List.of("m1", "m3"), sent);
+        assertEquals(List.of(Ending.RESET, Ending.CONNECT_FAILED, Ending.OK), reportedEndings);
+        assertEquals(List.of("complete"), answers);
+    }
+
     /**
      * While a non-idempotent request is in flight at an engine, the engine leaves the list or is listed as a prefill
      * engine.
--- a/src/test/java/dunlinladder/core/EngineBuilder.java
+++ b/src/test/java/dunlinladder/core/EngineBuilder.java
@@ -7,6 +7,7 @@
     private String address = "127.0.0.1:1";
     private int zone;
     private int kind;
+    private int cell;
     private Engine.State state = Engine.State.ACTIVE;
     private double startedAt;
 
@@ -37,6 +38,12 @@
         return this;
     }
 
+    /** Sets the number of the cell. */
+    public EngineBuilder cell(int number) {
+        cell = number;
+        return this;
+    }
+
     /** Sets the state that discovery reports. */
     public EngineBuilder state(Engine.State listedState) {
         state = listedState;
@@ -51,6 +58,6 @@
 
     /** Builds the engine. */
     public Engine build() {
-        return new Engine(id, address, zone, kind, 0, state, 1, startedAt);
+        return new Engine(id, address, zone, kind, cell, state, 1, startedAt);
     }
 }
--- a/src/test/java/dunlinladder/core/SendGuardTest.java
+++ b/src/test/java/dunlinladder/core/SendGuardTest.java
@@ -17,8 +17,8 @@
 
     private static final ServiceRules RULES = new ServiceRules() {
         @Override
-        public boolean isNonIdempotent(int serviceClass) {
-            return true;
+        public RerunRule rerunRule(int serviceClass) {
+            return RerunRule.FORBIDDEN;
         }
 
         @Override
@@ -71,12 +71,32 @@
         assertEquals("sends_refused_client_gone=1 sends_refused_too_late=1", counters.logText());
     }
 
+    /** Guards against a rerun whose connection came up only after the window for reruns had ended. */
+    @Test
+    void forbidsARerunBehindItsWindow() {
+        Engine engine = EngineBuilder.engine("m1").build();
+        updateEngines(engine);
+        SendGuard guard = new SendGuard(engines, RULES, instruments, 0);
+        double now = clock.now();
+        assertEquals(
+                Optional.empty(),
+                guard.refusalToSend(attempt(engine, Double.POSITIVE_INFINITY, now + 1000), () -> false));
+        assertEquals(
+                Optional.of(SendRefusal.TOO_LATE),
+                guard.refusalToSend(attempt(engine, Double.POSITIVE_INFINITY, now - 0.001), () -> false));
+    }
+
     private static Optional<SendRefusal> refusal(SendGuard guard, Engine engine) {
         return guard.refusalToSend(attempt(engine, Double.POSITIVE_INFINITY), () -> false);
     }
 
     private static Attempt attempt(Engine engine, double writtenBy) {
+        return attempt(engine, writtenBy, Double.POSITIVE_INFINITY);
+    }
+
+    private static Attempt attempt(Engine engine, double writtenBy, double latestSend) {
         ArrivalDeadlines arrival = new ArrivalDeadlines(writtenBy, writtenBy, 0);
-        return new Attempt(RequestBuilder.request("id").build(), 0, engine, Double.POSITIVE_INFINITY, arrival, true);
+        Request request = RequestBuilder.request("id").build();
+        return new Attempt(request, 0, engine, Double.POSITIVE_INFINITY, latestSend, arrival, true);
     }
 }
--- a/src/test/java/dunlinladder/it/ChatFrontTest.java
+++ b/src/test/java/dunlinladder/it/ChatFrontTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.extension.RegisterExtension;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -32,15 +34,18 @@
     static final ChatGatewayExtension CHAT = new ChatGatewayExtension("");
 
     private static TestClient post(String model, boolean stream, String text) throws Exception {
-        return CHAT.connect()
-                .send(
-                        "POST",
-                        "/v1/chat/completions",
-                        ChatGatewayExtension.BEARER_KEY,
-                        "{\"model\":\"" + model
-                                + "\",\"stream\":" + stream
-                                + ",\"messages\":[{\"role\":\"system\",\"content\":\"Be brief.\"},"
-                                + "{\"role\":\"user\",\"content\":\"" + text + "\"}]}");
+        return post(CHAT.connect(), model, stream, text);
+    }
+
+    private static TestClient post(TestClient client, String model, boolean stream, String text) throws Exception {
+        return client.send(
+                "POST",
+                "/v1/chat/completions",
+                ChatGatewayExtension.BEARER_KEY,
+                "{\"model\":\"" + model
+                        + "\",\"stream\":" + stream
+                        + ",\"messages\":[{\"role\":\"system\",\"content\":\"Be brief.\"},"
+                        + "{\"role\":\"user\",\"content\":\"" + text + "\"}]}");
     }
 
     @Test
@@ -98,6 +103,25 @@
         }
     }
 
+    /**
+     * Guards against client libraries that retry a failed request by themselves, at any engine, where the request may
+     * run again in one cell only.
+     */
+    @Test
+    void forbidsTheRetryOfAKeyedRequest(@TempDir Path folder) throws Exception {
+        Path state = folder.resolve("applied.json");
+        ChatGatewayExtension.writeAppliedState(state, "0.8", "");
+        try (RunningGateway keyed = RunningGateway.builder()
+                        .settings(RunningGateway.KEYED_SETTINGS)
+                        .chatFront(state)
+                        .start();
+                TestClient client = post(new TestClient(keyed.chatPort), "list", true, "hang-decode")) {
+            assertTrue(client.readHead());
+            assertEquals(504, client.status);
+            assertEquals("false", client.headers.get("X-Should-Retry"));
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
--- a/src/test/java/dunlinladder/it/RunningGateway.java
+++ b/src/test/java/dunlinladder/it/RunningGateway.java
@@ -43,6 +43,10 @@
             "rules":{"answer-slack":0.008,"cold":14.0,"cold-from":0.26,"fall-multiple":4.0,
             "stop-sending-within":1.0,"tip-after":1.5}}""";
 
+    /** Settings in which the class listing is keyed: its requests may run again, but only in the same cell. */
+    static final String KEYED_SETTINGS = SETTINGS.replace(
+            "\"semantics\":\"unsafe\"", "\"semantics\":\"keyed\",\"group\":\"cell\",\"repeat-window\":5.0");
+
     final StubServer prefillEngine;
     final List<StubServer> decodeEngines;
     final StubServer discovery;
--- a/src/test/java/dunlinladder/it/ShutdownTest.java
+++ b/src/test/java/dunlinladder/it/ShutdownTest.java
@@ -39,8 +39,11 @@
     private final Map<String, Integer> statuses = new ConcurrentHashMap<>();
 
     private static String settings(String deadline) {
-        return RunningGateway.SETTINGS
-                .replace("\"deadline\":4.0", "\"deadline\":" + deadline)
+        return settings(RunningGateway.SETTINGS, deadline);
+    }
+
+    private static String settings(String base, String deadline) {
+        return base.replace("\"deadline\":4.0", "\"deadline\":" + deadline)
                 .replace("\"deadline\":10.0", "\"deadline\":" + deadline);
     }
 
@@ -105,6 +108,30 @@
                 .toList();
     }
 
+    /**
+     * Guards against a refusal, which promises that a retry is harmless, of a request that a hanging engine has
+     * received and that may run again in that engine's cell only.
+     */
+    @ParameterizedTest
+    @CsvSource({"hang-decode, 504", "hang-prefill, 503"})
+    void refusesAKeyedRequestOnlyIfItCannotHaveRun(String body, int status) throws Exception {
+        try (RunningGateway gateway = RunningGateway.builder()
+                .settings(settings(RunningGateway.KEYED_SETTINGS, "0.4"))
+                .start()) {
+            PlatformGatewayFixture.lookupStatus(gateway);
+            // The client's timeout is far off, so that the shutdown ends the request.
+            try (TestClient client = gateway.post(RunningGateway.nextRequestId(), "listing", "9.0", body)) {
+                Await.until(() -> gateway.prefillEngine.requestCount("POST", body) == 1
+                        && (body.equals("hang-prefill") || gateway.decodeRequestCount("POST", body) == 1));
+                gateway.signal("TERM");
+                assertTrue(client.readHead());
+                assertEquals(status, client.status);
+                assertTrue(gateway.process.waitFor(20, TimeUnit.SECONDS));
+                assertEquals(0, gateway.process.exitValue());
+            }
+        }
+    }
+
     /** A stream that its engine still writes is not cut at the exit time, as the client would lose the rest of it. */
     @Test
     void keepsAnOpenStreamUntilItsEnd() throws Exception {
--- a/src/test/java/dunlinladder/it/SoakMutants.java
+++ b/src/test/java/dunlinladder/it/SoakMutants.java
@@ -46,18 +46,14 @@
                         "return engines.find(attempt.engine().id()).isPresent() ?")),
         UNSAFE_REQUEST_REPEATED(
                 new Change("routing/RetryPolicy.java", "run -> request.has(Idempotence.UNSAFE)", "run -> false"),
-                new Change(
-                        "routing/RetryPolicy.java",
-                        "|| request.has(Idempotence.SAFE)) {",
-                        "|| !request.has(Idempotence.KEYED)) {"),
                 new Change(
                         "routing/RetryPolicy.java",
                         "(prefill || request.has(Idempotence.SAFE))",
                         "(prefill || !request.has(Idempotence.KEYED))"),
                 new Change(
-                        "core/ServiceRules.java",
-                        "return isNonIdempotent(request.serviceClass()) && history.mayHaveRun();",
-                        "return false;"));
+                        "routing/RoutingSettings.java",
+                        "case UNSAFE -> RerunRule.FORBIDDEN;",
+                        "case UNSAFE -> RerunRule.UNRESTRICTED;"));
 
         private final List<Change> changes;
 
--- a/src/test/java/dunlinladder/transport/engine/EngineConnectionFixture.java
+++ b/src/test/java/dunlinladder/transport/engine/EngineConnectionFixture.java
@@ -9,6 +9,7 @@
 import dunlinladder.core.LimitsBuilder;
 import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.RequestRouter;
+import dunlinladder.core.RerunRule;
 import dunlinladder.core.SendGuard;
 import dunlinladder.core.ServiceRules;
 import java.io.IOException;
@@ -52,8 +53,8 @@
     private static final class NoRules implements ServiceRules {
 
         @Override
-        public boolean isNonIdempotent(int serviceClass) {
-            return false;
+        public RerunRule rerunRule(int serviceClass) {
+            return RerunRule.UNRESTRICTED;
         }
 
         @Override
