--- a/src/main/java/dunlinladder/transport/engine/EngineConnectionPool.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineConnectionPool.java
@@ -3,6 +3,7 @@
 import dunlinladder.core.Counter;
 import dunlinladder.core.Counters;
 import dunlinladder.core.Limits;
+import dunlinladder.transport.http.ConfinedEventHandler;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -82,8 +83,8 @@
         return new HttpAsyncRequester(
                 config,
                 // A handler that is passed to open() arrives as the attachment.
-                (session, attachment) ->
-                        attachment instanceof IOEventHandler handler ? handler : protocol.createHandler(session),
+                (session, attachment) -> new ConfinedEventHandler(
+                        attachment instanceof IOEventHandler handler ? handler : protocol.createHandler(session)),
                 null,
                 null,
                 null,
--- a/src/main/java/dunlinladder/transport/http/HttpListener.java
+++ b/src/main/java/dunlinladder/transport/http/HttpListener.java
@@ -184,7 +184,7 @@
                 new ClientConnection(session, (ConnectionArrival) attachment, limits, config, exchangeFactory);
         connections.put(session.getId(), connection);
         pendingRegistrations.decrementAndGet();
-        return connection.handler(processor, config);
+        return new ConfinedEventHandler(connection.handler(processor, config));
     }
 
     /**
