--- a/src/test/java/dunlinladder/core/AttemptHistoryTest.java
+++ b/src/test/java/dunlinladder/core/AttemptHistoryTest.java
@@ -13,15 +13,7 @@
     private final AttemptHistory history = new AttemptHistory();
 
     private static Attempt attempt(int number, String engine, boolean mayHaveEffect) {
-        Request request = RequestBuilder.request("id").build();
-        return new Attempt(
-                request,
-                number,
-                EngineBuilder.engine(engine).build(),
-                10,
-                Double.POSITIVE_INFINITY,
-                ArrivalDeadlines.NONE,
-                mayHaveEffect);
+        return TestAttempts.attempt(number, EngineBuilder.engine(engine).build(), mayHaveEffect);
     }
 
     @Test
--- a/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
+++ b/src/test/java/dunlinladder/core/CacheHoldLedgerTest.java
@@ -14,17 +14,9 @@
 
     private final Counters counters = new Counters();
     private final CacheHoldLedger ledger = new CacheHoldLedger(0.5, counters);
-    private final Request request = RequestBuilder.request("id").build();
 
     private Attempt attempt(boolean mayHaveEffect) {
-        return new Attempt(
-                request,
-                0,
-                EngineBuilder.engine("e").build(),
-                100,
-                Double.POSITIVE_INFINITY,
-                ArrivalDeadlines.NONE,
-                mayHaveEffect);
+        return TestAttempts.attempt(0, EngineBuilder.engine("e").build(), mayHaveEffect);
     }
 
     private void prefill(Ending ending, AttemptReach reach) {
--- a/src/test/java/dunlinladder/core/RerunRuleTest.java
+++ b/src/test/java/dunlinladder/core/RerunRuleTest.java
@@ -1,6 +1,8 @@
 package dunlinladder.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dunlinladder.core.RerunRule.Location;
 import dunlinladder.core.RerunRule.Scope;
@@ -13,17 +15,6 @@
 
     private static final double WINDOW_SECONDS = 2;
 
-    private static Attempt attempt(int number, Engine engine, boolean mayHaveEffect) {
-        return new Attempt(
-                RequestBuilder.request("id").build(),
-                number,
-                engine,
-                100,
-                Double.POSITIVE_INFINITY,
-                ArrivalDeadlines.NONE,
-                mayHaveEffect);
-    }
-
     @ParameterizedTest
     @CsvSource({
         "NONE, false, false, false, false",
@@ -47,22 +38,22 @@
         Engine engine = EngineBuilder.engine("m1").build();
         RerunRule rule = new RerunRule(Scope.CELL, WINDOW_SECONDS);
         AttemptHistory history = new AttemptHistory();
-        history.recordSent(attempt(0, engine, false), 1);
+        history.recordSent(TestAttempts.attempt(0, engine, false), 1);
         history.recordEnd(Outcome.of(Outcome.Ending.TIMEOUT), AttemptReach.WRITTEN, 2);
-        history.recordSent(attempt(1, engine, true), 3);
+        history.recordSent(TestAttempts.attempt(1, engine, true), 3);
         history.recordEnd(Outcome.of(Outcome.Ending.FULL), AttemptReach.CONFIRMED, 4);
         assertEquals(Double.POSITIVE_INFINITY, rule.latestRerun(history));
-        history.recordSent(attempt(2, engine, true), 5);
+        history.recordSent(TestAttempts.attempt(2, engine, true), 5);
         history.recordEnd(Outcome.of(Outcome.Ending.RESET), AttemptReach.WRITTEN, 6);
-        history.recordSent(attempt(3, engine, true), 6.5);
+        history.recordSent(TestAttempts.attempt(3, engine, true), 6.5);
         history.recordEnd(Outcome.of(Outcome.Ending.TIMEOUT), AttemptReach.WRITTEN, 6.9);
         assertEquals(7, rule.latestRerun(history));
-        assertEquals(true, rule.allowsRerun(history, engine, 7));
-        assertEquals(false, rule.allowsRerun(history, engine, 7.001));
+        assertTrue(rule.allowsRerun(history, engine, 7));
+        assertFalse(rule.allowsRerun(history, engine, 7.001));
         assertEquals(
                 false,
                 rule.allowsRerun(history, EngineBuilder.engine("m2").cell(1).build(), 6.95));
-        assertEquals(true, RerunRule.UNRESTRICTED.allowsRerun(history, engine, 1e9));
-        assertEquals(false, RerunRule.FORBIDDEN.allowsRerun(history, engine, 6.95));
+        assertTrue(RerunRule.UNRESTRICTED.allowsRerun(history, engine, 1e9));
+        assertFalse(RerunRule.FORBIDDEN.allowsRerun(history, engine, 6.95));
     }
 }
--- a/src/test/java/dunlinladder/transport/engine/EngineConnectionPoolTest.java
+++ b/src/test/java/dunlinladder/transport/engine/EngineConnectionPoolTest.java
@@ -4,10 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -33,7 +33,7 @@
             String address = EngineConnectionFixture.addressOf(listener);
             PoolEntry<HttpHost, EngineConnection> other = connections.lease(address);
             try (Socket otherPeer = listener.accept()) {
-                connections.pool.open(address, new FailingHandler());
+                connections.pool.open(address, failingHandler());
                 try (Socket peer = listener.accept()) {
                     peer.getOutputStream().write('x');
                     awaitClose(peer);
@@ -54,38 +54,18 @@
         }
     }
 
-    /** Fails with an error on the first input. */
-    private static final class FailingHandler implements IOEventHandler {
-
-        @Override
-        public void connected(IOSession session) {
-            session.setEvent(SelectionKey.OP_READ);
-        }
-
-        @Override
-        public void inputReady(IOSession session, ByteBuffer source) {
-            throw new StackOverflowError("thrown by the test");
-        }
-
-        @Override
-        public void outputReady(IOSession session) {
-            session.clearEvent(SelectionKey.OP_WRITE);
-        }
-
-        @Override
-        public void timeout(IOSession session, org.apache.hc.core5.util.Timeout timeout) {
-            // No timeout is set.
-        }
-
-        @Override
-        public void exception(IOSession session, Exception cause) {
-            throw new AssertionError("thrown by the test", cause);
-        }
-
-        @Override
-        public void disconnected(IOSession session) {
-            throw new AssertionError("thrown by the test");
-        }
+    /** Returns a handler that reads, and fails with an error at every event after the connection is established. */
+    private static IOEventHandler failingHandler() {
+        return (IOEventHandler) Proxy.newProxyInstance(
+                EngineConnectionPoolTest.class.getClassLoader(),
+                new Class<?>[] {IOEventHandler.class},
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("connected")) {
+                        ((IOSession) arguments[0]).setEvent(SelectionKey.OP_READ);
+                        return null;
+                    }
+                    throw new StackOverflowError("thrown by the test");
+                });
     }
 
     /**
