Tests: a gateway under test gets SIGHUP even if the suite runs under nohup

Traced: that run was started under nohup, which ignores SIGHUP; a process inherits ignored signals, and a JVM that starts with SIGHUP ignored never receives it.

--- a/src/test/java/dunlinladder/it/RunningGateway.java
+++ b/src/test/java/dunlinladder/it/RunningGateway.java
@@ -180,11 +180,15 @@
         }
     }
 
+    /**
+     * Starts the process. It gets SIGHUP even if the tests run under nohup: a JVM inherits ignored signals for good.
+     */
     private Process startProcess(Builder options) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(List.of(
                 "sh",
                 "-c",
-                "ulimit -n " + (descriptorLimit + TEST_JAR_DESCRIPTORS) + " && exec \"$0\" \"$@\"",
+                "ulimit -n " + (descriptorLimit + TEST_JAR_DESCRIPTORS)
+                        + " && exec env --default-signal=HUP \"$0\" \"$@\"",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx64m",
                 THREAD_STACK_OPTION,
