--- a/review/stand-2/LongPrompts.java
+++ b/review/stand-2/LongPrompts.java
@@ -7,6 +7,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -64,6 +65,11 @@
                 .filter(line -> line.contains("OutOfMemoryError"))
                 .count();
         Stand.log("for information: lines of the gateway's log with OutOfMemoryError: " + memoryErrors);
+        if (gateway.process.isAlive()) {
+            Files.readAllLines(Path.of("/proc/" + gateway.process.pid() + "/status")).stream()
+                    .filter(line -> line.startsWith("VmHWM"))
+                    .forEach(line -> Stand.log("for information, peak memory of the gateway: " + line));
+        }
         Stand.log("gateway alive " + gateway.process.isAlive());
         if (!gateway.process.isAlive()) {
             VIOLATIONS.add(0, "the gateway ended");
