Put the second review's drivers into a package, so that both reviews build

Need: review/build.sh compiles every Java file under review, and both reviews have a class Stand. Change: package review2.

--- a/review/stand-2/LeftClients.java
+++ b/review/stand-2/LeftClients.java
@@ -1,3 +1,5 @@
+package review2;
+
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
--- a/review/stand-2/Lineage.java
+++ b/review/stand-2/Lineage.java
@@ -1,3 +1,5 @@
+package review2;
+
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
--- a/review/stand-2/Renumber.java
+++ b/review/stand-2/Renumber.java
@@ -1,3 +1,5 @@
+package review2;
+
 import java.util.ArrayList;
 import java.util.List;
 
--- a/review/stand-2/Stand.java
+++ b/review/stand-2/Stand.java
@@ -1,3 +1,5 @@
+package review2;
+
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
