Compute decisions and seeded draws with StrictMath, the same on each architecture

What was seen: on arm64 all six cases of GoldenDecisionTraceTest fail (6 of 1012 tests), with the same number of actions and other last bits of time-outs and advice.

Cause: Math.exp, log and pow may differ in the last bit between architectures, as the JVM replaces them by code of its own for each. StrictMath may not.

Change: StrictMath in all of src/main and src/test; an ArchUnit rule over both forbids these methods of Math, method references included.

--- a/src/main/java/dunlinladder/membership/Backoff.java
+++ b/src/main/java/dunlinladder/membership/Backoff.java
@@ -26,7 +26,7 @@
      * @param fraction a uniformly distributed random number from 0 to 1
      */
     public double pauseSeconds(int failures, double fraction) {
-        double doubled = initialSeconds * Math.pow(2, Math.min(failures, MAX_DOUBLINGS));
+        double doubled = initialSeconds * StrictMath.pow(2, Math.min(failures, MAX_DOUBLINGS));
         return fraction * Math.min(maxSeconds, doubled);
     }
 }
--- a/src/main/java/dunlinladder/migration/FormatEvidence.java
+++ b/src/main/java/dunlinladder/migration/FormatEvidence.java
@@ -82,7 +82,7 @@
         ejection.processStartedAt = startedAt;
         ejection.probeInFlight = false;
         int doublings = Math.min(MAX_DOUBLINGS, ejection.failures++);
-        double backoffSeconds = Math.min(maxBackoffSeconds, initialBackoffSeconds * Math.pow(2, doublings));
+        double backoffSeconds = Math.min(maxBackoffSeconds, initialBackoffSeconds * StrictMath.pow(2, doublings));
         ejection.ejectedUntil = now + backoffSeconds * (MIN_BACKOFF_FACTOR + random.nextDouble() * BACKOFF_JITTER);
     }
 
--- a/src/main/java/dunlinladder/routing/DecayingCounter.java
+++ b/src/main/java/dunlinladder/routing/DecayingCounter.java
@@ -18,7 +18,7 @@
     }
 
     double at(double now) {
-        return count * Math.exp((countedAt - now) / decaySeconds);
+        return count * StrictMath.exp((countedAt - now) / decaySeconds);
     }
 
     void reset() {
--- a/src/main/java/dunlinladder/routing/LatencyStatistics.java
+++ b/src/main/java/dunlinladder/routing/LatencyStatistics.java
@@ -113,7 +113,7 @@
      */
     private double estimateCurrentDelay(EngineState engine) {
         double medianDelay = median(engine.role);
-        double decay = Math.exp((engine.delayRecordedAt - context.now) / DELAY_DECAY_SECONDS);
+        double decay = StrictMath.exp((engine.delayRecordedAt - context.now) / DELAY_DECAY_SECONDS);
         double delay = medianDelay + (engine.smoothedDelay - medianDelay) * decay;
         for (AttemptState attempt : engine.unanswered) {
             double age = attempt.relativeAge(context.now);
--- a/src/main/java/dunlinladder/routing/StreamDurationStats.java
+++ b/src/main/java/dunlinladder/routing/StreamDurationStats.java
@@ -30,7 +30,7 @@
     double ratio(EngineState engine) {
         return 1
                 + (engine.streamDurationRatio - 1)
-                        * Math.exp((engine.streamDurationRatioAt - context.now) / RATIO_DECAY_SECONDS);
+                        * StrictMath.exp((engine.streamDurationRatioAt - context.now) / RATIO_DECAY_SECONDS);
     }
 
     /** Records an ended attempt. Only a stream that ended well counts, and only if this gateway observes all load. */
--- a/src/main/java/dunlinladder/routing/ThroughputMeter.java
+++ b/src/main/java/dunlinladder/routing/ThroughputMeter.java
@@ -33,9 +33,10 @@
         int index = role.ordinal();
         double previousAt = countedAt[index];
         firstAt = Math.min(firstAt, now);
-        rate[index] = rate[index] * Math.exp((previousAt - now) / window) + 1 / window;
-        double windowFraction = correctForStart ? 1 - Math.exp(-Math.max(WINDOW_SECONDS, now - firstAt) / window) : 1;
-        double decayedPeak = peak[index] * Math.exp((previousAt - now) / PEAK_DECAY_SECONDS);
+        rate[index] = rate[index] * StrictMath.exp((previousAt - now) / window) + 1 / window;
+        double windowFraction =
+                correctForStart ? 1 - StrictMath.exp(-Math.max(WINDOW_SECONDS, now - firstAt) / window) : 1;
+        double decayedPeak = peak[index] * StrictMath.exp((previousAt - now) / PEAK_DECAY_SECONDS);
         peak[index] = Math.max(rate[index] / windowFraction, decayedPeak);
         countedAt[index] = now;
     }
--- a/src/test/java/dunlinladder/ArchitectureTest.java
+++ b/src/test/java/dunlinladder/ArchitectureTest.java
@@ -20,12 +20,14 @@
 class ArchitectureTest {
 
     private static JavaClasses classes;
+    private static JavaClasses classesAndTests;
 
     @BeforeAll
     static void importClasses() {
         classes = new ClassFileImporter()
                 .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
                 .importPackages("dunlinladder");
+        classesAndTests = new ClassFileImporter().importPackages("dunlinladder");
     }
 
     @ParameterizedTest
@@ -139,6 +141,27 @@
                 .check(classes);
     }
 
+    /**
+     * The results of these methods of {@link Math} may differ in the last bit between processor architectures; those of
+     * {@link StrictMath} may not. Decisions, seeded draws and the tests' simulated fleets use the latter, so that the
+     * same input leads to the same decisions on each machine.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "acos", "asin", "atan", "atan2", "cbrt", "cos", "cosh", "exp", "expm1", "hypot", "log", "log10",
+                "log1p", "pow", "sin", "sinh", "tan", "tanh"
+            })
+    void nothingCallsMathMethodsThatDifferBetweenArchitectures(String method) {
+        noClasses()
+                .should()
+                .accessTargetWhere(DescribedPredicate.describe(
+                        "is Math." + method,
+                        access -> access.getTargetOwner().isEquivalentTo(Math.class)
+                                && access.getName().equals(method)))
+                .check(classesAndTests);
+    }
+
     /**
      * Types of the policy that the gateway and the simulator's adapter use: its interface with the events and actions,
      * its implementation, its settings and the blocking facade.
