Count the data of requests as what it takes of the heap, and keep no parsed bodies

Cause: the limit on bodies counted bytes received, a fifth of the heap. A request in flight held about ten times that: a buffer of up to twice the body, a copy, the parsed conversation and the translation.

Change: MemoryBudget counts buffers and translations by their size, a quarter of the heap for all requests, shared evenly by the fronts; what has no room is rejected before it is parsed. A translated request keeps its bytes and is parsed again if engines of another format need it. Bodies are parsed one at a time, within an estimate (JsonFootprint) of a quarter of the heap, else 413. Why it works: everything that grows with the number of requests is now counted, and what is not counted exists once.

--- a/src/main/java/dunlinladder/apiformat/StrictJson.java
+++ b/src/main/java/dunlinladder/apiformat/StrictJson.java
@@ -43,6 +43,15 @@
         }
     }
 
+    /** Returns a tree as text in UTF-8. */
+    public static byte[] bytes(JsonNode tree) {
+        try {
+            return MAPPER.writeValueAsBytes(tree);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree can always be written", e);
+        }
+    }
+
     /**
      * Parses text that must contain an object; blank text counts as an empty object.
      *
--- a/src/main/java/dunlinladder/core/Limits.java
+++ b/src/main/java/dunlinladder/core/Limits.java
@@ -30,16 +30,19 @@
      * @param headBytes maximum size of the head of a request or a response
      * @param chunkBytes maximum size of a chunk of a body
      * @param bodyBytes maximum size of the body of a request
-     * @param totalBodyBytes maximum total size of the bodies of all requests in memory
+     * @param requestMemoryBytes maximum heap that the data of all requests takes
+     * @param parsedBodyBytes maximum heap that the parsed form of a body takes; one body is parsed at a time
      */
-    public record MessageLimits(int headBytes, int chunkBytes, int bodyBytes, long totalBodyBytes) {
+    public record MessageLimits(
+            int headBytes, int chunkBytes, int bodyBytes, long requestMemoryBytes, long parsedBodyBytes) {
 
         /** Checks the values. */
         public MessageLimits {
             requireNotNegative(headBytes, "headBytes");
             requireNotNegative(chunkBytes, "chunkBytes");
             requireNotNegative(bodyBytes, "bodyBytes");
-            requireNotNegative(totalBodyBytes, "totalBodyBytes");
+            requireNotNegative(requestMemoryBytes, "requestMemoryBytes");
+            requireNotNegative(parsedBodyBytes, "parsedBodyBytes");
         }
     }
 
@@ -208,8 +211,13 @@
     }
 
     /** See {@link MessageLimits}. */
-    public long totalBodyBytes() {
-        return messages.totalBodyBytes();
+    public long requestMemoryBytes() {
+        return messages.requestMemoryBytes();
+    }
+
+    /** See {@link MessageLimits}. */
+    public long parsedBodyBytes() {
+        return messages.parsedBodyBytes();
     }
 
     /** See {@link EngineResponseLimits}. */
--- a/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
@@ -19,12 +19,14 @@
 import dunlinladder.routing.RoutingSettings;
 import dunlinladder.transport.chat.ChatExchange;
 import dunlinladder.transport.chat.ChatSettings;
+import dunlinladder.transport.chat.TranslationLimiter;
 import dunlinladder.transport.discovery.EndpointListReader;
 import dunlinladder.transport.discovery.EndpointWatcher;
 import dunlinladder.transport.engine.EngineClient;
 import dunlinladder.transport.engine.EngineConnectionPool;
 import dunlinladder.transport.engine.SchedulingLagMonitor;
 import dunlinladder.transport.http.HttpListener;
+import dunlinladder.transport.http.MemoryBudget;
 import dunlinladder.transport.platform.PlatformExchange;
 import dunlinladder.transport.platform.PlatformRequestReader;
 import java.io.IOException;
@@ -37,7 +39,6 @@
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
 /**
@@ -60,9 +61,6 @@
     private final Counters counters = new Counters();
     private final Instruments instruments;
     private final EngineRegistry engines = new EngineRegistry();
-    /** Total bytes of the request bodies that both fronts currently hold. */
-    private final AtomicLong bodyBytes = new AtomicLong();
-
     private final Supplier<LifecycleState> state;
 
     private final EngineConnectionPool engineConnections;
@@ -115,10 +113,13 @@
                 instruments,
                 new Dispatcher.Settings(limits.requests(), limits.answerMarginSeconds()));
         eligibility = chat.map(front -> createEligibility(front.settings()));
-        int connectionsPerFront = limits.clientConnections() / (chat.isPresent() ? 2 : 1);
-        platformFront = createPlatformFront(connectionsPerFront);
+        int fronts = chat.isPresent() ? 2 : 1;
+        int connectionsPerFront = limits.clientConnections() / fronts;
+        long memoryPerFront = limits.requestMemoryBytes() / fronts;
+        platformFront = createPlatformFront(connectionsPerFront, memoryPerFront);
         chatFront = chat.isPresent()
-                ? Optional.of(createChatFront(connectionsPerFront, chat.get().settings()))
+                ? Optional.of(createChatFront(
+                        connectionsPerFront, memoryPerFront, chat.get().settings()))
                 : Optional.empty();
         endpointUpdates = new EndpointUpdatePublisher(engines, router, createEngineStartTimes());
         endpointWatcher = createEndpointWatcher();
@@ -159,7 +160,7 @@
                 task -> DaemonThreads.create(task, "request"));
     }
 
-    private HttpListener createPlatformFront(int maxConnections) throws IOException {
+    private HttpListener createPlatformFront(int maxConnections, long requestMemoryBytes) throws IOException {
         PlatformExchange.Context context = new PlatformExchange.Context(
                 dispatcher,
                 new PlatformRequestReader(
@@ -170,11 +171,12 @@
                 limits,
                 () -> state.get().isDraining(),
                 () -> state.get().isClosing(),
-                bodyBytes);
+                new MemoryBudget(requestMemoryBytes, counters));
         return new HttpListener(maxConnections, limits, counters, () -> new PlatformExchange(context));
     }
 
-    private HttpListener createChatFront(int maxConnections, ChatSettings settings) throws IOException {
+    private HttpListener createChatFront(int maxConnections, long requestMemoryBytes, ChatSettings settings)
+            throws IOException {
         ChatExchange.Context context = new ChatExchange.Context(
                 dispatcher,
                 settings,
@@ -183,7 +185,8 @@
                 clock,
                 limits,
                 () -> state.get().isClosing(),
-                bodyBytes);
+                new MemoryBudget(requestMemoryBytes, counters),
+                new TranslationLimiter(limits.parsedBodyBytes()));
         return new HttpListener(maxConnections, limits, counters, () -> new ChatExchange(context));
     }
 
--- a/src/main/java/dunlinladder/lifecycle/LimitsReader.java
+++ b/src/main/java/dunlinladder/lifecycle/LimitsReader.java
@@ -24,8 +24,10 @@
     private static final int MIN_MEMORY_MEGABYTES = 32;
     /** A request needs a thread with its stack, and a share of the heap: about 100 KB in total. */
     private static final int REQUESTS_PER_MEGABYTE = 2;
-    /** Divisor of the maximum heap size; the quotient is the limit on the bodies of all requests together. */
-    private static final int HEAP_TO_BODIES_RATIO = 5;
+    /** Ratio of the maximum heap to the part of it that the data of all requests may take. */
+    private static final int HEAP_TO_REQUEST_MEMORY_RATIO = 4;
+    /** Ratio of the maximum heap to the part of it that one body may take while it is parsed. */
+    private static final int HEAP_TO_PARSED_BODY_RATIO = 4;
 
     private static final int MAX_BODY_BYTES = 256 * 1024;
     private static final int MAX_HEAD_BYTES = 16 * 1024;
@@ -90,7 +92,8 @@
                         MAX_HEAD_BYTES,
                         MAX_CHUNK_BYTES,
                         MAX_BODY_BYTES,
-                        Runtime.getRuntime().maxMemory() / HEAP_TO_BODIES_RATIO),
+                        Runtime.getRuntime().maxMemory() / HEAP_TO_REQUEST_MEMORY_RATIO,
+                        Runtime.getRuntime().maxMemory() / HEAP_TO_PARSED_BODY_RATIO),
                 new Limits.EngineResponseLimits(MAX_INTERIM_RESPONSES, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES),
                 capacity(process, caps),
                 engineConnectionTimes(caps),
--- a/src/main/java/dunlinladder/transport/chat/ChatEngineRequest.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatEngineRequest.java
@@ -7,8 +7,8 @@
 import dunlinladder.apiformat.ErrorTranslator;
 import dunlinladder.apiformat.ReplyEncoder;
 import dunlinladder.apiformat.ReplyTranslator;
-import dunlinladder.apiformat.RequestParameter;
 import dunlinladder.apiformat.RequestTranslator;
+import dunlinladder.apiformat.StrictJson;
 import dunlinladder.apiformat.UntranslatableRequestException;
 import dunlinladder.core.Engine;
 import dunlinladder.core.Outcome;
@@ -16,11 +16,11 @@
 import dunlinladder.migration.RequestConstraints;
 import dunlinladder.transport.engine.EngineRequest;
 import dunlinladder.transport.engine.EngineRequestFactory;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Creates the requests to engines for one client's request, and records for the engines' generations how the attempts
@@ -63,10 +63,10 @@
      *     encode it; the client gets this error at once
      */
     void checkExpressible(Collection<ApiFormat> formats, double now) {
-        if (client.conversation().isEmpty()) {
+        if (client.body().isEmpty()) {
             return;
         }
-        Conversation conversation = client.conversation().get();
+        Conversation conversation = client.body().get().conversation();
         for (ApiFormat format : formats) {
             RequestTranslator.unsupportedField(format, conversation)
                     .ifPresent(field -> constraints.recordInexpressibleField(format, field));
@@ -103,6 +103,19 @@
                         .isEligible(engine.get(), constraints, context.clock().now());
     }
 
+    /**
+     * Returns the heap that the bodies of this request take while it is in flight, in bytes; empty if its translation
+     * has not been made yet.
+     */
+    OptionalLong heldBytes() {
+        if (client.body().isEmpty()) {
+            return OptionalLong.of(client.details().body().orElseThrow().length);
+        }
+        return encodedFormat == null
+                ? OptionalLong.empty()
+                : OptionalLong.of((long) client.body().get().content().length + encodedBody.length);
+    }
+
     // ---- Requests to engines ----
 
     @Override
@@ -111,53 +124,59 @@
         ApiFormat engineFormat = generation.map(Generation::format).orElse(ApiFormat.CHAT);
         attemptGeneration = generation.map(Generation::name);
         context.eligibility().recordSent(engine);
-        if (client.conversation().isEmpty()) {
+        if (client.body().isEmpty()) {
             replyTranslator = Optional.empty();
             byte[] body = client.details().body().orElseThrow();
             return new EngineRequest(POST, engineFormat.path(), ChatExchange.JSON, body);
         }
-        Conversation conversation = client.conversation().get();
+        TranslatableBody body = client.body().get();
         replyTranslator = Optional.of(new ReplyTranslator(
                 engineFormat,
                 client.format(),
-                identity(engineFormat, conversation),
+                identity(engineFormat, body),
                 client.details().streaming()));
-        byte[] body = encode(engineFormat, conversation);
-        return new EngineRequest(POST, engineFormat.path(), ChatExchange.JSON, body);
+        return new EngineRequest(POST, engineFormat.path(), ChatExchange.JSON, encode(engineFormat, body));
     }
 
-    private ReplyEncoder.Identity identity(ApiFormat engineFormat, Conversation conversation) {
-        // Engines repeat the prompt only in the completions format; in other formats the gateway adds it.
-        boolean gatewayAddsEcho = conversation.flag(RequestParameter.ECHO) && engineFormat != ApiFormat.COMPLETIONS;
+    private ReplyEncoder.Identity identity(ApiFormat engineFormat, TranslatableBody body) {
         return new ReplyEncoder.Identity(
                 client.id(),
                 client.details().modelName(),
                 (long) context.clock().now(),
                 client.details().includeUsage(),
-                conversation.legacyTools(),
-                gatewayAddsEcho ? conversation.messages().get(0).text() : "");
+                body.legacyTools(),
+                // Engines repeat the prompt only in the completions format; in other formats the gateway adds it.
+                engineFormat == ApiFormat.COMPLETIONS ? "" : body.echoedPrompt());
     }
 
     /** Returns the request in a format. It is encoded again only when the format differs from the previous one. */
-    private byte[] encode(ApiFormat format, Conversation conversation) {
+    private byte[] encode(ApiFormat format, TranslatableBody body) {
         if (encodedFormat != format) {
-            List<String> newWarnings = new ArrayList<>();
-            int defaultMaxTokens = client.details().model().defaultMaxTokens();
-            ObjectNode body = RequestTranslator.encode(format, conversation, defaultMaxTokens, newWarnings);
-            newWarnings.stream()
-                    .filter(line -> !client.warnings().contains(line))
-                    .forEach(client.warnings()::add);
-            // Engines send only streams. The usage is needed at the end of the answer even if the client wants none.
-            body.put("stream", true);
-            if (format == ApiFormat.CHAT || format == ApiFormat.COMPLETIONS) {
-                body.putObject("stream_options").put("include_usage", true);
-            }
-            encodedBody = body.toString().getBytes(StandardCharsets.UTF_8);
-            encodedFormat = format;
+            context.translations().translate(body.content(), () -> {
+                try {
+                    encode(format, body.conversation());
+                } finally {
+                    body.discardParsed();
+                }
+            });
         }
         return encodedBody;
     }
 
+    private void encode(ApiFormat format, Conversation conversation) {
+        List<String> newWarnings = new ArrayList<>();
+        int defaultMaxTokens = client.details().model().defaultMaxTokens();
+        ObjectNode body = RequestTranslator.encode(format, conversation, defaultMaxTokens, newWarnings);
+        newWarnings.stream().filter(line -> !client.warnings().contains(line)).forEach(client.warnings()::add);
+        // Engines send only streams. The usage is needed at the end of the answer even if the client wants none.
+        body.put("stream", true);
+        if (format == ApiFormat.CHAT || format == ApiFormat.COMPLETIONS) {
+            body.putObject("stream_options").put("include_usage", true);
+        }
+        encodedBody = StrictJson.bytes(body);
+        encodedFormat = format;
+    }
+
     // ---- Results of attempts ----
 
     /** Returns the translator of the current attempt's reply; empty if the reply is not translated. */
--- a/src/main/java/dunlinladder/transport/chat/ChatError.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatError.java
@@ -91,6 +91,11 @@
                 HttpStatus.SC_REQUEST_TOO_LONG, "the body is over " + maxBytes + " bytes", "request_too_large");
     }
 
+    static ChatError bodyTooComplex() {
+        return new ChatError(
+                HttpStatus.SC_REQUEST_TOO_LONG, "the body holds too many values to be translated", "request_too_large");
+    }
+
     // ---- Requests that were not served ----
 
     static ChatError overloaded() {
--- a/src/main/java/dunlinladder/transport/chat/ChatExchange.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatExchange.java
@@ -10,7 +10,9 @@
 import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Request;
 import dunlinladder.core.ResponseSink;
+import dunlinladder.core.RoutingDecision;
 import dunlinladder.migration.EngineEligibility;
+import dunlinladder.transport.http.MemoryBudget;
 import dunlinladder.transport.http.ServerExchange;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -18,7 +20,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
@@ -38,6 +39,9 @@
 
     static final String JSON = "application/json";
 
+    /** Reserved for a body and its translation until the length of the latter is known, as a multiple of the body. */
+    private static final int HELD_TO_BODY_RATIO = 4;
+
     private static final String EVENT_STREAM = "text/event-stream";
     private static final String GET = "GET";
     private static final String POST = "POST";
@@ -50,7 +54,8 @@
      *
      * @param eligibility decides which engines may receive a request, by their generations
      * @param closing whether each connection is to be closed after its current answer
-     * @param totalBodyBytes counts the bytes of all request bodies in memory
+     * @param requestMemory limits the heap that the data of all requests takes
+     * @param translations limits the heap that parsed bodies take
      */
     public record Context(
             Dispatcher dispatcher,
@@ -60,7 +65,8 @@
             MonotonicClock clock,
             Limits limits,
             BooleanSupplier closing,
-            AtomicLong totalBodyBytes) {}
+            MemoryBudget requestMemory,
+            TranslationLimiter translations) {}
 
     private final Context context;
     /** Text for the client that has not been passed to the connection yet. */
@@ -77,7 +83,7 @@
 
     /** Creates the exchange for one request. */
     public ChatExchange(Context context) {
-        super(context.dispatcher, context.limits, context.closing, context.totalBodyBytes);
+        super(context.dispatcher, context.limits, context.closing, context.requestMemory);
         this.context = context;
     }
 
@@ -119,11 +125,12 @@
     }
 
     private void submit(byte[] content, int tenant, double earliestSentAt) {
-        Collection<ApiFormat> engineFormats = context.eligibility.formats();
-        client = ClientRequest.read(format, content, engineFormats, context.settings, tenant);
-        relay = new ChatReplyRelay(client, context.clock, this::openOutput);
-        engineRequest = new ChatEngineRequest(context, client, isClientRetryHarmless());
-        engineRequest.checkExpressible(engineFormats, earliestSentAt);
+        if (!reserveMemory((long) HELD_TO_BODY_RATIO * content.length)) {
+            reject(RoutingDecision.NO_ADVICE);
+            return;
+        }
+        context.translations.translate(content, () -> read(content, tenant, earliestSentAt));
+        engineRequest.heldBytes().ifPresent(this::reserveMemory);
         int serviceClass = client.details().model().serviceClass();
         submit(
                 new Request(
@@ -138,6 +145,19 @@
                 this);
     }
 
+    /** Reads the request, and translates it if all engines have one format; leaves nothing parsed behind. */
+    private void read(byte[] content, int tenant, double earliestSentAt) {
+        Collection<ApiFormat> engineFormats = context.eligibility.formats();
+        client = ClientRequest.read(format, content, engineFormats, context.settings, tenant);
+        relay = new ChatReplyRelay(client, context.clock, this::openOutput);
+        engineRequest = new ChatEngineRequest(context, client, isClientRetryHarmless());
+        try {
+            engineRequest.checkExpressible(engineFormats, earliestSentAt);
+        } finally {
+            client.body().ifPresent(TranslatableBody::discardParsed);
+        }
+    }
+
     private boolean isClientRetryHarmless() {
         return context.settings
                 .clientRetryHarmless()
--- a/src/main/java/dunlinladder/transport/chat/ClientRequest.java
+++ b/src/main/java/dunlinladder/transport/chat/ClientRequest.java
@@ -3,8 +3,6 @@
 import dunlinladder.apiformat.ApiFormat;
 import dunlinladder.apiformat.Conversation;
 import dunlinladder.apiformat.RequestParameter;
-import dunlinladder.apiformat.RequestTranslator;
-import dunlinladder.apiformat.StrictJson;
 import dunlinladder.apiformat.UntranslatableRequestException;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -19,8 +17,8 @@
  * @param tenant index of the tenant whose API key came with the request
  * @param format the client's API format, which is also that of the answer
  * @param details the values that the gateway itself uses
- * @param conversation the request in the neutral model; empty if the client and all engines use the chat completions
- *     format, so that nothing is translated
+ * @param body the body to be translated; empty if the client and all engines use the chat completions format, so that
+ *     nothing is translated
  * @param warnings one line for each field that was left out; translation for an engine may add lines
  */
 record ClientRequest(
@@ -28,7 +26,7 @@
         int tenant,
         ApiFormat format,
         ChatRequest details,
-        Optional<Conversation> conversation,
+        Optional<TranslatableBody> body,
         List<String> warnings) {
 
     /**
@@ -49,11 +47,10 @@
             return new ClientRequest(id, tenant, format, details, Optional.empty(), warnings);
         }
         try {
-            Conversation conversation =
-                    RequestTranslator.decode(format, StrictJson.body(content), settings.unknownFields(), warnings);
-            checkChoices(conversation);
-            ChatRequest details = ChatRequest.of(conversation, settings, tenant);
-            return new ClientRequest(id, tenant, format, details, Optional.of(conversation), warnings);
+            TranslatableBody body = new TranslatableBody(format, content, settings.unknownFields(), warnings);
+            checkChoices(body.conversation());
+            ChatRequest details = ChatRequest.of(body.conversation(), settings, tenant);
+            return new ClientRequest(id, tenant, format, details, Optional.of(body), warnings);
         } catch (UntranslatableRequestException e) {
             throw ChatError.untranslatable(e);
         }
--- a/src/main/java/dunlinladder/transport/http/RequestBody.java
+++ b/src/main/java/dunlinladder/transport/http/RequestBody.java
@@ -1,33 +1,34 @@
 package dunlinladder.transport.http;
 
 import dunlinladder.core.Limits;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.Arrays;
 import org.apache.hc.core5.http.ConnectionClosedException;
 
 /**
- * Collects the body of one request under two limits: the length of this body, and the total length of all bodies that
- * the gateway holds, because many clients with long bodies would fill the memory. A body that is no longer needed is
- * still read and discarded up to a limit, because closing the connection midway could lose the response.
+ * Collects the body of one request under two limits: the length of this body, and the heap that the data of all
+ * requests takes, because many clients with long bodies would fill the memory. Counted is the size of the buffer, and
+ * not the bytes received. A body that is no longer needed is still read and discarded up to a limit, because closing
+ * the connection midway could lose the response; its buffer is dropped.
  *
  * <p>The I/O thread of the connection adds to the body. The timer may call {@link #expire}, and the thread that ends
- * the exchange calls {@link #release}. The object's monitor guards the state that they share with the I/O thread:
- * {@code reservedBytes}, {@code released} and whether the request completes or expires first. Lock order: this monitor
- * may be taken while {@link ResponseWriter}'s is held, never the other way round.
+ * the exchange calls {@link #release}. The object's monitor guards whether the request completes or expires first.
  */
 final class RequestBody {
 
     /** A discarded body may be this many times as long as the longest accepted body. */
     private static final long DISCARDED_BODY_LENGTH_FACTOR = 16;
 
+    private static final byte[] EMPTY = {};
+    private static final int MIN_BUFFER_BYTES = 1024;
+
     /** The decision on one part of the body. */
     enum Admission {
         ADMITTED,
         /** With this part the body exceeds its limit. */
         TOO_LONG,
-        /** With this part the total of all bodies exceeds its limit. */
+        /** With this part the data of all requests exceeds its limit. */
         NO_CAPACITY,
         /** The request was answered or given up before. */
         DISCARDED
@@ -42,26 +43,31 @@
     }
 
     private final int maxBytes;
-    private final long maxTotalBytes;
-    private final AtomicLong totalBytes;
-    private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+    private final MemoryBudget.Reservation reservation;
     private volatile State state = State.RECEIVING;
-    /** Bytes received, discarded ones included; used by the I/O thread only. */
+    /** Bytes received, discarded ones included; this and the next three fields are used by the I/O thread only. */
     private long receivedBytes;
+    /** Length of the body as the client has announced it, or the maximum length. */
+    private int expectedBytes;
 
-    private int reservedBytes;
-    private boolean released;
+    private byte[] buffer = EMPTY;
+    private int length;
 
-    /** Creates an empty body; {@code totalBytes} is the total length of all bodies that the gateway holds. */
-    RequestBody(Limits limits, AtomicLong totalBytes) {
+    /** Creates an empty body; {@code reservation} covers its buffer. */
+    RequestBody(Limits limits, MemoryBudget.Reservation reservation) {
         this.maxBytes = limits.bodyBytes();
-        this.maxTotalBytes = limits.totalBodyBytes();
-        this.totalBytes = totalBytes;
+        this.expectedBytes = maxBytes;
+        this.reservation = reservation;
+    }
+
+    /** Whether a body of {@code bytes} bytes is too long. */
+    boolean isTooLong(long bytes) {
+        return bytes > maxBytes;
     }
 
-    /** Whether a body of {@code length} bytes is too long. */
-    boolean isTooLong(long length) {
-        return length > maxBytes;
+    /** Sets the length that the client has announced; negative if it has not. The buffer will not be larger. */
+    void expect(long announcedBytes) {
+        expectedBytes = announcedBytes < 0 ? maxBytes : (int) Math.min(maxBytes, announcedBytes);
     }
 
     /** Discards the rest of the body when it arrives. */
@@ -103,19 +109,25 @@
             discard();
             return Admission.TOO_LONG;
         }
-        if (!reserve(size)) {
+        if (!growTo((int) receivedBytes)) {
             discard();
             return Admission.NO_CAPACITY;
         }
         return Admission.ADMITTED;
     }
 
-    private synchronized boolean reserve(int size) {
-        if (released) {
+    /** Makes room for {@code bytes} bytes; returns false if the limit on the data of all requests allows no more. */
+    private boolean growTo(int bytes) {
+        if (bytes <= buffer.length) {
+            return true;
+        }
+        int doubled = Math.max(MIN_BUFFER_BYTES, 2 * buffer.length);
+        int size = Math.max(bytes, Math.min(doubled, expectedBytes));
+        if (!reservation.resize(size)) {
             return false;
         }
-        reservedBytes += size;
-        return totalBytes.addAndGet(size) <= maxTotalBytes;
+        buffer = Arrays.copyOf(buffer, size);
+        return true;
     }
 
     /**
@@ -126,27 +138,35 @@
      */
     void consume(ByteBuffer part) throws IOException {
         if (isDiscarded()) {
-            content.reset();
+            dropBuffer();
             part.position(part.limit());
             if (receivedBytes > DISCARDED_BODY_LENGTH_FACTOR * maxBytes) {
                 throw new ConnectionClosedException("the discarded body is too long");
             }
         } else {
-            byte[] bytes = new byte[part.remaining()];
-            part.get(bytes);
-            content.write(bytes);
+            int size = part.remaining();
+            part.get(buffer, length, size);
+            length += size;
         }
     }
 
-    /** Returns the bytes stored so far. */
-    byte[] content() {
-        return content.toByteArray();
+    private void dropBuffer() {
+        buffer = EMPTY;
+        length = 0;
+        reservation.resize(0);
+    }
+
+    /** Returns the body and drops this object's reference to it; its bytes stay reserved. */
+    byte[] takeContent() {
+        byte[] content = length == buffer.length ? buffer : Arrays.copyOf(buffer, length);
+        buffer = EMPTY;
+        length = 0;
+        reservation.resize(content.length);
+        return content;
     }
 
-    /** Subtracts this body from the total of all bodies; nothing more of it is admitted afterwards. */
-    synchronized void release() {
-        released = true;
-        totalBytes.addAndGet(-reservedBytes);
-        reservedBytes = 0;
+    /** Ends the reservation; nothing more of this body is admitted afterwards. */
+    void release() {
+        reservation.release();
     }
 }
--- a/src/main/java/dunlinladder/transport/http/ServerExchange.java
+++ b/src/main/java/dunlinladder/transport/http/ServerExchange.java
@@ -9,7 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
 import org.apache.hc.core5.http.ContentType;
@@ -46,6 +45,7 @@
 
     private final Dispatcher dispatcher;
     private final BooleanSupplier closing;
+    private final MemoryBudget.Reservation memory;
     private final RequestBody body;
     private final ResponseWriter writer = new ResponseWriter(this::onWriterEnded);
     private HttpRequest request;
@@ -66,12 +66,14 @@
      * Creates an exchange.
      *
      * @param closing whether connections must close after their response
-     * @param totalBodyBytes total length of all request bodies that the gateway holds
+     * @param requestMemory limits the heap that the data of all requests takes
      */
-    protected ServerExchange(Dispatcher dispatcher, Limits limits, BooleanSupplier closing, AtomicLong totalBodyBytes) {
+    protected ServerExchange(
+            Dispatcher dispatcher, Limits limits, BooleanSupplier closing, MemoryBudget requestMemory) {
         this.dispatcher = dispatcher;
         this.closing = closing;
-        this.body = new RequestBody(limits, totalBodyBytes);
+        this.memory = requestMemory.open();
+        this.body = new RequestBody(limits, memory);
     }
 
     // ---- Implemented by each front ----
@@ -179,6 +181,16 @@
         return submitted;
     }
 
+    /**
+     * Changes the heap that is reserved for this request's data, which is the length of its body at first. It is freed
+     * when the exchange ends.
+     *
+     * @return false, without effect, if the data of all requests takes too much, or the exchange has ended
+     */
+    protected final boolean reserveMemory(long bytes) {
+        return memory.resize(bytes);
+    }
+
     /** Returns an upper bound on the seconds since the request, which has just been completed, was sent. */
     protected final double maxSecondsSinceSend() {
         return arrival == null ? 0 : arrival.maxSecondsSinceSend(registeredAt, System.nanoTime());
@@ -261,6 +273,9 @@
             bodyTooLong();
             return;
         }
+        if (entity != null) {
+            body.expect(entity.getContentLength());
+        }
         if (HeaderElements.CONTINUE.equalsIgnoreCase(header(head, HttpHeaders.EXPECT))) {
             channel.sendInformation(new BasicHttpResponse(HttpStatus.SC_CONTINUE), context);
         }
@@ -288,7 +303,7 @@
     @Override
     public final void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
         if (body.complete()) {
-            requestReceived(request, body.content());
+            requestReceived(request, body.takeContent());
         }
     }
 
--- a/src/main/java/dunlinladder/transport/platform/PlatformExchange.java
+++ b/src/main/java/dunlinladder/transport/platform/PlatformExchange.java
@@ -6,11 +6,11 @@
 import dunlinladder.core.ResponseSink;
 import dunlinladder.core.Seconds;
 import dunlinladder.transport.engine.EngineRequest;
+import dunlinladder.transport.http.MemoryBudget;
 import dunlinladder.transport.http.ServerExchange;
 import dunlinladder.transport.json.InvalidInputException;
 import java.nio.ByteBuffer;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
 import org.apache.hc.core5.http.HttpHeaders;
@@ -35,7 +35,7 @@
      *
      * @param draining whether new clients must not be sent to this gateway; the health check reports it
      * @param closing whether connections must close after their response
-     * @param totalBodyBytes total length of all request bodies that the gateway holds
+     * @param requestMemory limits the heap that the data of all requests takes
      */
     public record Context(
             Dispatcher dispatcher,
@@ -44,14 +44,14 @@
             Limits limits,
             BooleanSupplier draining,
             BooleanSupplier closing,
-            AtomicLong totalBodyBytes) {}
+            MemoryBudget requestMemory) {}
 
     private final Context context;
     private boolean streaming;
 
     /** Creates the exchange for one request. */
     public PlatformExchange(Context context) {
-        super(context.dispatcher, context.limits, context.closing, context.totalBodyBytes);
+        super(context.dispatcher, context.limits, context.closing, context.requestMemory);
         this.context = context;
     }
 
--- a/src/test/java/dunlinladder/core/LimitsBuilder.java
+++ b/src/test/java/dunlinladder/core/LimitsBuilder.java
@@ -28,7 +28,7 @@
     /** Builds the limits. */
     public Limits build() {
         return new Limits(
-                new Limits.MessageLimits(16384, 16384, 1024, 1024),
+                new Limits.MessageLimits(16384, 16384, 1024, 1024, 1024),
                 new Limits.EngineResponseLimits(16, 16384, 4096),
                 new Limits.CapacityLimits(requests, 10, 10),
                 new Limits.EngineConnectionTimes(5, 10, 0.02, 30),
--- a/src/test/java/dunlinladder/it/ChatFrontTest.java
+++ b/src/test/java/dunlinladder/it/ChatFrontTest.java
@@ -9,7 +9,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -25,6 +27,11 @@
 class ChatFrontTest {
 
     private static final int MIXED_REQUESTS = 2000;
+    /** Clients that ask at once, with this many short messages each. */
+    private static final int CROWD = 150;
+
+    private static final int SHORT_MESSAGES = 7000;
+    private static final String CROWD_DEADLINE_SECONDS = "8";
     /** Words that select the stubs' answers. Each block of ten requests uses the next one. */
     private static final String[] MIXED_FAULTS = {
         "plain", "plain", "plain", "plain", "cut", "plain", "unclosed", "busy-decode", "plain", "pause"
@@ -133,7 +140,8 @@
                 "GET|/v1/models|secret|x|200",
                 "POST|/v1/models|secret|x|405",
                 "GET|/v1/engines|secret|x|404",
-                "POST|/v1/chat/completions|secret|long|413"
+                "POST|/v1/chat/completions|secret|long|413",
+                "POST|/v1/chat/completions|secret|many values|413"
             })
     void validatesRequests(String method, String target, String key, String body, int status) throws Exception {
         try (TestClient client = CHAT.connect()
@@ -141,7 +149,11 @@
                         method,
                         target,
                         "Authorization: Bearer " + key + "\r\n",
-                        body.equals("long") ? "x".repeat(300_000) : body)) {
+                        switch (body) {
+                            case "long" -> "x".repeat(300_000);
+                            case "many values" -> "{},".repeat(80_000);
+                            default -> body;
+                        })) {
             assertTrue(client.readHead());
             assertEquals(status, client.status);
             assertTrue(client.readBody().contains(status == 200 ? "\"id\":\"find\"" : "\"error\":{"));
@@ -169,6 +181,55 @@
         }
     }
 
+    /**
+     * Guards against requests that are lost, and fronts that fall silent, because parsed conversations fill the heap:
+     * many small messages take far more memory than their bytes. The engines hang, so that all requests that are
+     * accepted are held at a time. With one format of engines the front's I/O thread translates, with several each
+     * request's thread.
+     */
+    @ParameterizedTest
+    @CsvSource(
+            quoteCharacter = '\'',
+            delimiter = '|',
+            value = {
+                "\"generations.new.format\":\"responses\"",
+                "\"generations.a.format\":\"responses\",\"generations.a.kinds\":\"[prompt, answer]\","
+                        + "\"generations.b.format\":\"messages\",\"generations.b.kinds\":\"[mixed]\""
+            })
+    void answersAllOfManyLongConversationsAtOnce(String generations, @TempDir Path folder) throws Exception {
+        Path state = folder.resolve("applied.json");
+        ChatGatewayExtension.writeAppliedState(state, CROWD_DEADLINE_SECONDS, generations);
+        String body = "{\"model\":\"list\",\"messages\":["
+                + "{\"role\":\"user\",\"content\":\"ok\"},".repeat(SHORT_MESSAGES)
+                + "{\"role\":\"user\",\"content\":\"hang-prefill\"}]}";
+        ExecutorService clients = Executors.newFixedThreadPool(CROWD);
+        try (RunningGateway crowded = RunningGateway.builder().chatFront(state).start()) {
+            List<Future<Integer>> outcomes = new ArrayList<>();
+            for (int i = 0; i < CROWD; i++) {
+                outcomes.add(clients.submit(() -> {
+                    try (TestClient client = new TestClient(crowded.chatPort)
+                            .send("POST", "/v1/chat/completions", ChatGatewayExtension.BEARER_KEY, body)) {
+                        return client.readHead() ? client.status : 0;
+                    }
+                }));
+            }
+            Set<Integer> statuses = new TreeSet<>();
+            for (Future<Integer> outcome : outcomes) {
+                statuses.add(outcome.get());
+            }
+            assertTrue(Set.of(429, 504).containsAll(statuses), statuses::toString);
+            assertFalse(crowded.hasLogged("OutOfMemoryError"));
+            assertTrue(crowded.prefillEngine.requestCount("POST", "hang-prefill") > 0);
+            try (TestClient next =
+                    new TestClient(crowded.chatPort).send("GET", "/v1/models", ChatGatewayExtension.BEARER_KEY, "")) {
+                assertTrue(next.readHead());
+                assertEquals(200, next.status);
+            }
+        } finally {
+            clients.shutdown();
+        }
+    }
+
     /**
      * Requests with various faults are mixed: each client gets one terminal outcome, and no listing runs twice at
      * decode engines.
--- a/src/test/java/dunlinladder/transport/http/HttpListenerTest.java
+++ b/src/test/java/dunlinladder/transport/http/HttpListenerTest.java
@@ -24,7 +24,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.http.HttpRequest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -60,7 +59,7 @@
     private final class TestExchange extends ServerExchange {
 
         TestExchange() {
-            super(dispatcher, LIMITS, () -> false, new AtomicLong());
+            super(dispatcher, LIMITS, () -> false, new MemoryBudget(LIMITS.requestMemoryBytes(), counters));
         }
 
         @Override
@@ -130,6 +129,10 @@
         return new Socket(InetAddress.getLoopbackAddress(), port);
     }
 
+    private static void leave(Socket client) throws IOException {
+        client.close();
+    }
+
     private static int listen(HttpListener listener) throws IOException {
         return listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
@@ -145,7 +148,7 @@
                 try (Socket leaving = connect(port)) {
                     send(leaving, SUBMITTED_PATH);
                 }
-                only.close();
+                leave(only);
             }
             try (Socket last = connect(port)) {
                 // Accepted only when the connection of the client that has left has ended.
@@ -170,7 +173,7 @@
                 send(other, BLOCKING_PATH);
                 ioThreadOccupied.await();
                 assertFalse(open.hasDisconnected());
-                leaving.close();
+                leave(leaving);
                 while (!open.hasDisconnected()) {
                     Thread.onSpinWait();
                 }
