Continue a front after an error that ends its I/O thread or its accepting thread

Cause: HttpCore's reactor and the accepting thread survive exceptions, not an Error. One OutOfMemoryError outside of a connection's handler, for instance while the handler of a new connection is made, ended the thread for the life of the process.

Evidence: the gateway's log has Exception in thread "client-io" twice, and jstack shows two threads client-accept and no client-io behind it.

Change: the making of a connection's handler is confined like its events, for clients and engines. AcceptedChannelReactor closes a failed reactor's connections and goes on with a new one, which takes the channels that were accepted and not registered. The accepting thread pauses after an Error as after an exception. A task that recurs does so even if its failure cannot be logged. Counter client_io_restarts.

Tests: HttpListenerTest.servesNewConnectionsAfterAnErrorOutsideOfAConnection, ConnectionAcceptorTest.acceptsAgainAfterAnError and RecurringTaskTest (third row) timed out with the mend taken out, ConfinedEventHandlerTest ended with the error; all pass with it.

--- a/src/main/java/dunlinladder/core/Counter.java
+++ b/src/main/java/dunlinladder/core/Counter.java
@@ -54,6 +54,8 @@
     CONNECTIONS_EVICTED,
     /** Failures to accept a client connection. */
     ACCEPT_FAILURES,
+    /** Failures of the I/O thread of a front, which closed all its client connections and continued. */
+    CLIENT_IO_RESTARTS,
     /** Violations of an invariant: the policy made no decision for a request by its deadline. */
     INVARIANT_DECISION_OVERDUE,
     /** Detected steps of the machine's wall clock. */
--- a/src/main/java/dunlinladder/lifecycle/RecurringTask.java
+++ b/src/main/java/dunlinladder/lifecycle/RecurringTask.java
@@ -42,7 +42,16 @@
             task.run();
         } catch (RuntimeException | Error e) {
             // Errors are caught as well: a thread or memory that is missing now may be available at the next run.
-            LOG.error("event=task_failed task={}", name, e);
+            log(name, e);
+        }
+    }
+
+    private static void log(String name, Throwable failure) {
+        try {
+            LOG.error("event=task_failed task={}", name, failure);
+        } catch (Error e) {
+            // Memory is missing for the log too; the task recurs all the same.
+            Thread.onSpinWait();
         }
     }
 }
--- a/src/main/java/dunlinladder/transport/engine/EngineConnectionPool.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineConnectionPool.java
@@ -84,7 +84,7 @@
                 config,
                 // A handler that is passed to open() arrives as the attachment.
                 (session, attachment) -> new ConfinedEventHandler(
-                        attachment instanceof IOEventHandler handler ? handler : protocol.createHandler(session)),
+                        () -> attachment instanceof IOEventHandler handler ? handler : protocol.createHandler(session)),
                 null,
                 null,
                 null,
--- a/src/main/java/dunlinladder/transport/http/ClientConnection.java
+++ b/src/main/java/dunlinladder/transport/http/ClientConnection.java
@@ -303,6 +303,15 @@
         }
     }
 
+    /** Ends the open request and closes the connection at once, because its I/O thread has failed. */
+    void drop() {
+        ServerExchange exchange = openExchange;
+        if (exchange != null) {
+            exchange.disconnect();
+        }
+        session.close(CloseMode.IMMEDIATE);
+    }
+
     /**
      * Closes the connection if no request is open; a request that has arrived meanwhile is still answered. A partly
      * received head is dropped, unless its rest is being parsed at this moment: if the connection were closed then, the
--- a/src/main/java/dunlinladder/transport/http/ConfinedEventHandler.java
+++ b/src/main/java/dunlinladder/transport/http/ConfinedEventHandler.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.function.Supplier;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
@@ -9,8 +10,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Confines an {@link Error} of a connection's handler to that connection. HttpCore closes one connection when its
- * handler throws an exception, but an error ends the I/O thread, and with it all connections that the thread serves.
+ * Confines an {@link Error} of a connection's handler, or of its creation, to that connection. HttpCore closes one
+ * connection when its handler throws an exception, but an error ends the I/O thread, and with it all connections that
+ * the thread serves.
  *
  * <p>Used by the I/O thread only.
  */
@@ -18,11 +20,13 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ConfinedEventHandler.class);
 
-    private final IOEventHandler handler;
+    private final Supplier<IOEventHandler> factory;
+    /** Null until the connection is established, and if the handler could not be created. */
+    private IOEventHandler handler;
 
-    /** Creates a handler that passes all events to {@code handler}. */
-    public ConfinedEventHandler(IOEventHandler handler) {
-        this.handler = handler;
+    /** Creates a handler that passes all events to the one that {@code factory} creates for the first event. */
+    public ConfinedEventHandler(Supplier<IOEventHandler> factory) {
+        this.factory = factory;
     }
 
     /** The handling of one event. */
@@ -32,7 +36,10 @@
 
     @Override
     public void connected(IOSession session) throws IOException {
-        closeOnError(session, () -> handler.connected(session));
+        closeOnError(session, () -> {
+            handler = factory.get();
+            handler.connected(session);
+        });
     }
 
     @Override
@@ -53,7 +60,9 @@
     @Override
     public void exception(IOSession session, Exception cause) {
         try {
-            handler.exception(session, cause);
+            if (handler != null) {
+                handler.exception(session, cause);
+            }
         } catch (Error e) {
             log(session, e);
         }
@@ -62,7 +71,9 @@
     @Override
     public void disconnected(IOSession session) {
         try {
-            handler.disconnected(session);
+            if (handler != null) {
+                handler.disconnected(session);
+            }
         } catch (Error e) {
             log(session, e);
         }
--- a/src/main/java/dunlinladder/transport/http/ConnectionAcceptor.java
+++ b/src/main/java/dunlinladder/transport/http/ConnectionAcceptor.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.apache.hc.core5.io.Closer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,7 +42,7 @@
         /** Waits until one more connection is allowed. */
         void awaitCapacity() throws InterruptedException;
 
-        /** Takes over a connection that was accepted. */
+        /** Takes over a connection that was accepted; it is closed if this method throws. */
         void accepted(SocketChannel channel, ConnectionArrival arrival);
     }
 
@@ -83,7 +84,7 @@
     public void run() {
         try {
             while (!stopped) {
-                acceptNext();
+                acceptOrPause();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -93,32 +94,51 @@
         }
     }
 
-    private void acceptNext() throws InterruptedException {
+    private void acceptOrPause() throws InterruptedException {
         try {
-            if (selector.selectNow() == 0) {
-                selector.select();
-                // The queue was empty until select() returned, so its connections have only just arrived.
-                queueClock.recordEmpty(System.nanoTime());
-            }
-            selector.selectedKeys().clear();
-            if (stopped) {
-                return;
-            }
-            // Called only when a connection is waiting; otherwise idle connections would be closed for nothing.
-            listener.awaitCapacity();
-            SocketChannel channel = stopped ? null : server.accept();
-            if (channel != null) {
-                consecutiveFailures = 0;
-                long now = System.nanoTime();
-                listener.accepted(channel, new ConnectionArrival(now, queueClock.recordAccept(now)));
+            try {
+                acceptNext();
+            } catch (IOException | RuntimeException | Error e) {
+                // Catches every kind of failure: a running gateway that accepts nothing would lose its clients
+                // unnoticed.
+                pauseAfter(e);
             }
-        } catch (IOException | RuntimeException e) {
-            // Catches every kind of failure: a running gateway that accepts nothing would lose its clients unnoticed.
-            pauseAfter(e);
+        } catch (Error e) {
+            // Memory is missing even for the report; goes on without it.
+            Thread.onSpinWait();
+        }
+    }
+
+    private void acceptNext() throws IOException, InterruptedException {
+        if (selector.selectNow() == 0) {
+            selector.select();
+            // The queue was empty until select() returned, so its connections have only just arrived.
+            queueClock.recordEmpty(System.nanoTime());
+        }
+        selector.selectedKeys().clear();
+        if (stopped) {
+            return;
+        }
+        // Called only when a connection is waiting; otherwise idle connections would be closed for nothing.
+        listener.awaitCapacity();
+        SocketChannel channel = stopped ? null : server.accept();
+        if (channel != null) {
+            handOver(channel);
+            consecutiveFailures = 0;
+        }
+    }
+
+    private void handOver(SocketChannel channel) {
+        long now = System.nanoTime();
+        try {
+            listener.accepted(channel, new ConnectionArrival(now, queueClock.recordAccept(now)));
+        } catch (RuntimeException | Error e) {
+            Closer.closeQuietly(channel);
+            throw e;
         }
     }
 
-    private void pauseAfter(Exception failure) {
+    private void pauseAfter(Throwable failure) {
         counters.increment(Counter.ACCEPT_FAILURES);
         if (consecutiveFailures % FAILURES_PER_LOG_LINE == 0) {
             LOG.warn("event=accept_failed reason=\"{}\"", failure.toString());
--- a/src/main/java/dunlinladder/transport/http/HttpListener.java
+++ b/src/main/java/dunlinladder/transport/http/HttpListener.java
@@ -10,7 +10,6 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.function.Supplier;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
@@ -20,13 +19,10 @@
 import org.apache.hc.core5.http.protocol.ResponseContent;
 import org.apache.hc.core5.http.protocol.ResponseDate;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.io.Closer;
 import org.apache.hc.core5.reactor.AcceptedChannelReactor;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.reactor.IOReactorShutdownException;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.reactor.IOSessionListener;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -82,8 +78,6 @@
     private final Counters counters;
     /** The open connections by the id of their session. */
     private final Map<String, ClientConnection> connections = new ConcurrentHashMap<>();
-    /** Number of accepted connections that the I/O thread has not registered yet. */
-    private final AtomicInteger pendingRegistrations = new AtomicInteger();
 
     /**
      * {@link System#nanoTime} at which the connection limit was last reached; used by the accepting thread only, as is
@@ -115,8 +109,7 @@
         reactor = new AcceptedChannelReactor(
                 this::createHandler,
                 reactorConfig(),
-                e -> LOG.warn("event=listener_error reason={}", e.toString()),
-                new SessionEndListener(),
+                new ReactorListener(),
                 ShutdownCommand.GRACEFUL_NORMAL_CALLBACK,
                 task -> DaemonThreads.create(task, "client-io"));
         reactor.start();
@@ -137,7 +130,7 @@
      * with requests wait in the queue behind idle connections.
      */
     private void awaitCapacity() throws InterruptedException {
-        while (connections.size() + pendingRegistrations.get() >= maxConnections) {
+        while (connections.size() + reactor.unregisteredCount() >= maxConnections) {
             long now = System.nanoTime();
             boolean fullAgain = now - lastFullAt < FULL_AGAIN_NANOS;
             evictionBatch = fullAgain ? Math.min(2 * evictionBatch, MAX_EVICTION_BATCH) : 1;
@@ -157,13 +150,7 @@
 
         @Override
         public void accepted(SocketChannel channel, ConnectionArrival arrival) {
-            pendingRegistrations.incrementAndGet();
-            try {
-                reactor.add(channel, arrival);
-            } catch (IOReactorShutdownException e) {
-                pendingRegistrations.decrementAndGet();
-                Closer.closeQuietly(channel);
-            }
+            reactor.add(channel, arrival);
         }
     }
 
@@ -180,11 +167,14 @@
     }
 
     private IOEventHandler createHandler(ProtocolIOSession session, Object attachment) {
-        ClientConnection connection =
-                new ClientConnection(session, (ConnectionArrival) attachment, limits, config, exchangeFactory);
+        return new ConfinedEventHandler(() -> register(session, (ConnectionArrival) attachment));
+    }
+
+    private IOEventHandler register(ProtocolIOSession session, ConnectionArrival arrival) {
+        ClientConnection connection = new ClientConnection(session, arrival, limits, config, exchangeFactory);
+        IOEventHandler handler = connection.handler(processor, config);
         connections.put(session.getId(), connection);
-        pendingRegistrations.decrementAndGet();
-        return new ConfinedEventHandler(connection.handler(processor, config));
+        return handler;
     }
 
     /**
@@ -219,7 +209,7 @@
      */
     public boolean shutDownConnections() {
         connections.values().forEach(ClientConnection::shutDown);
-        return pendingRegistrations.get() == 0 && connections.isEmpty();
+        return reactor.unregisteredCount() == 0 && connections.isEmpty();
     }
 
     /** Whether any submitted request has a response that has not been written in full. */
@@ -233,8 +223,21 @@
         reactor.close(CloseMode.IMMEDIATE);
     }
 
-    /** Removes connections that have ended; runs on the I/O thread. */
-    private final class SessionEndListener implements IOSessionListener {
+    /** Removes connections that have ended, and all when the I/O thread has failed; runs on the I/O thread. */
+    private final class ReactorListener implements AcceptedChannelReactor.Listener {
+
+        @Override
+        public void listenerFailed(Exception e) {
+            LOG.warn("event=listener_error reason={}", e.toString());
+        }
+
+        @Override
+        public void reactorFailed(Throwable failure) {
+            connections.values().forEach(ClientConnection::drop);
+            connections.clear();
+            counters.increment(Counter.CLIENT_IO_RESTARTS);
+            LOG.error("event=client_io_restarted", failure);
+        }
 
         @Override
         public void connected(IOSession session) {
--- a/src/test/java/dunlinladder/lifecycle/RecurringTaskTest.java
+++ b/src/test/java/dunlinladder/lifecycle/RecurringTaskTest.java
@@ -6,22 +6,41 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** A task that throws must run again. A scheduled executor alone would drop it. */
 @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class RecurringTaskTest {
 
+    /** Causes an error where it is logged, as a lack of memory does. */
+    private static final class UnprintableException extends IllegalStateException {
+
+        private static final long serialVersionUID = 1;
+
+        @Override
+        public String toString() {
+            throw new StackOverflowError("thrown by the test");
+        }
+    }
+
+    /** The failures of a task. */
+    enum Failure {
+        EXCEPTION,
+        ERROR,
+        /** Guards against a task that is dropped because its failure could not even be logged. */
+        UNPRINTABLE
+    }
+
     @ParameterizedTest
-    @ValueSource(booleans = {false, true})
-    void runsAgainAfterAnExceptionOrError(boolean throwError) throws Exception {
+    @EnumSource
+    void runsAgainAfterAnExceptionOrError(Failure failure) throws Exception {
         CountDownLatch runs = new CountDownLatch(3);
         ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
         try {
             timer.scheduleWithFixedDelay(
                     new RecurringTask("test", () -> {
                         runs.countDown();
-                        fail(throwError);
+                        fail(failure);
                     }),
                     0,
                     1,
@@ -32,10 +51,11 @@
         }
     }
 
-    private static void fail(boolean throwError) {
-        if (throwError) {
-            throw new OutOfMemoryError("thrown by the test");
+    private static void fail(Failure failure) {
+        switch (failure) {
+            case EXCEPTION -> throw new IllegalStateException("thrown by the test");
+            case ERROR -> throw new OutOfMemoryError("thrown by the test");
+            case UNPRINTABLE -> throw new UnprintableException();
         }
-        throw new IllegalStateException("thrown by the test");
     }
 }
--- a/src/test/java/dunlinladder/transport/http/ConnectionAcceptorTest.java
+++ b/src/test/java/dunlinladder/transport/http/ConnectionAcceptorTest.java
@@ -1,7 +1,10 @@
 package dunlinladder.transport.http;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dunlinladder.core.Counter;
 import dunlinladder.core.Counters;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -9,6 +12,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -42,15 +46,44 @@
         }
     }
 
+    /** Guards against an address on which nobody is accepted any more, after memory was missing once. */
+    @Test
+    void acceptsAgainAfterAnError() throws Exception {
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        Counters counters = new Counters();
+        Recorder recorder = new Recorder();
+        recorder.errorsLeft.set(2);
+        ConnectionAcceptor acceptor = new ConnectionAcceptor(anyPort, 16, counters, recorder);
+        Thread thread = new Thread(acceptor);
+        thread.start();
+        try (Socket first = new Socket(InetAddress.getLoopbackAddress(), acceptor.port());
+                Socket second = new Socket(InetAddress.getLoopbackAddress(), acceptor.port())) {
+            assertNotNull(arrivals.take());
+            assertEquals(-1, first.getInputStream().read(), "the connection that failed is closed");
+            assertTrue(second.isConnected());
+            assertEquals(2, counters.count(Counter.ACCEPT_FAILURES));
+        } finally {
+            acceptor.stop();
+        }
+    }
+
     private final class Recorder implements ConnectionAcceptor.Listener {
 
+        /** The next calls throw an error, the first of them before a connection is accepted. */
+        private final AtomicInteger errorsLeft = new AtomicInteger();
+
         @Override
         public void awaitCapacity() {
-            // No limit.
+            if (errorsLeft.compareAndSet(2, 1)) {
+                throw new OutOfMemoryError("thrown by the test");
+            }
         }
 
         @Override
         public void accepted(SocketChannel channel, ConnectionArrival arrival) {
+            if (errorsLeft.compareAndSet(1, 0)) {
+                throw new OutOfMemoryError("thrown by the test");
+            }
             arrivals.add(arrival);
         }
     }
--- a/src/test/java/dunlinladder/transport/http/HttpListenerTest.java
+++ b/src/test/java/dunlinladder/transport/http/HttpListenerTest.java
@@ -34,6 +34,8 @@
 
     private static final Limits LIMITS = LimitsBuilder.limits().build();
     private static final String FAILING_PATH = "/failing";
+    /** A request with this path causes an error outside of the connection's handler. */
+    private static final String UNCONFINED_PATH = "/unconfined";
     /** A request with this path stays open. */
     private static final String OPEN_PATH = "/open";
     /** A request with this path occupies the I/O thread. */
@@ -66,6 +68,7 @@
         protected void requestReceived(HttpRequest head, byte[] content) {
             switch (path(head)) {
                 case FAILING_PATH -> throw new StackOverflowError("thrown by the test");
+                case UNCONFINED_PATH -> throw new UnprintableException();
                 case OPEN_PATH -> openExchanges.add(this);
                 case BLOCKING_PATH -> occupyIoThread();
                 case SUBMITTED_PATH ->
@@ -99,6 +102,17 @@
         }
     }
 
+    /** Causes an error where it is logged. */
+    private static final class UnprintableException extends IllegalStateException {
+
+        private static final long serialVersionUID = 1;
+
+        @Override
+        public String toString() {
+            throw new StackOverflowError("thrown by the test");
+        }
+    }
+
     private static void send(Socket client, String path) throws IOException {
         String request = "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
         client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
@@ -231,6 +245,32 @@
         }
     }
 
+    /** Guards against a front that lives and answers nobody, after an error has ended its I/O thread. */
+    @Test
+    void servesNewConnectionsAfterAnErrorOutsideOfAConnection() throws Exception {
+        try (HttpListener listener = createListener(2)) {
+            int port = listen(listener);
+            try (Socket open = connect(port);
+                    Socket failing = connect(port)) {
+                send(open, OPEN_PATH);
+                openExchanges.take();
+                send(failing, UNCONFINED_PATH);
+                awaitClose(failing);
+                awaitClose(open);
+            }
+            // Both connections count no more, or there would be no room for these.
+            try (Socket first = connect(port);
+                    Socket second = connect(port)) {
+                send(first, "/");
+                assertEquals("answer 1", readAnswer(first));
+                send(second, "/");
+                assertEquals("answer 2", readAnswer(second));
+            }
+            assertEquals(1, counters.count(Counter.CLIENT_IO_RESTARTS));
+            listener.stopListening();
+        }
+    }
+
     /** Guards against an error on one connection that ends the I/O thread, and with it all other connections. */
     @Test
     void anErrorOfOneConnectionLeavesTheOthersOpen() throws Exception {
