Identify the state that a saved plan was made for by a digest, not by its number

Cause: plan and state were compared by the serial number alone, and it counts from 0 again where the file is absent, or from an old number where a copy was put back.

With the mend: "made for state 1, but the current state is another state with that number", exit 1, state and models unchanged.

Change: each apply gives the state a random id; a plan holds a digest of its base's serial number, id and settings, and apply compares digests. Whatever way a state came about, another one has another digest, and only a copy has the same. New fields id and base_revision; the others stay. Plans of earlier versions are refused, states are read. Reading and writing of both files moved to StateFile.

--- a/src/main/java/dunlinladder/lifecycle/AppliedState.java
+++ b/src/main/java/dunlinladder/lifecycle/AppliedState.java
@@ -1,132 +1,76 @@
 package dunlinladder.lifecycle;
 
-import dunlinladder.transport.http.TransientFailures;
-import dunlinladder.transport.json.InvalidInputException;
-import dunlinladder.transport.json.JsonObject;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.Map;
-import java.util.SortedMap;
-import java.util.TreeMap;
-import java.util.zip.CRC32C;
+import java.util.UUID;
 
 /**
- * A state of the chat configuration as it is stored in a file: the applied state, or a saved plan, which holds the
- * serial number of the state for which it was made. Either file is one JSON object with a serial number, a checksum and
- * the flat settings.
+ * The applied state of the chat configuration.
  *
- * @param serial serial number of the state, 0 before the first apply; each apply with changes increments it
- * @param settings the settings of the state, or the settings that a plan leads to
+ * @param serial serial number of the state, 0 before the first apply; each apply with changes increments it. It begins
+ *     anew where the file is lost, so it does not identify a state
+ * @param id random id that the apply gave the state; empty before the first apply, and in files of earlier versions
+ * @param settings the settings of the state
  */
-record AppliedState(long serial, FlatSettings settings) {
+record AppliedState(long serial, String id, FlatSettings settings) {
 
     private static final String SERIAL_FIELD = "serial";
-    private static final String CHECKSUM_FIELD = "checksum";
-    /** Field of a saved plan: the serial number of the state for which the plan was made. */
-    private static final String BASE_FIELD = "base";
+    private static final String ID_FIELD = "id";
+    private static final String NO_ID = "";
 
-    private static final String SETTINGS_FIELD = "settings";
-    /** Far more than an operator's file needs. */
-    private static final long MAX_BYTES = 1024 * 1024;
+    /** Returns the state before the first apply. */
+    static AppliedState none() {
+        return new AppliedState(0, NO_ID, FlatSettings.empty());
+    }
 
-    /**
-     * Reads the applied state. An absent file stands for the state before the first apply.
-     *
-     * @throws InvalidInputException if the file is not a regular file, is too large, is malformed or does not match its
-     *     checksum; the message names the file
-     */
-    static AppliedState read(Path file) throws IOException {
-        return Files.exists(file) ? read(file, SERIAL_FIELD) : new AppliedState(0, FlatSettings.empty());
+    /** Returns the state that follows this one when these settings are applied. */
+    AppliedState next(FlatSettings nextSettings) {
+        return new AppliedState(serial + 1, UUID.randomUUID().toString(), nextSettings);
     }
 
     /**
-     * Reads a saved plan.
+     * Reads the applied state. An absent file stands for the state before the first apply.
      *
-     * @throws InvalidInputException if the file is absent, not a regular file, too large or malformed, or does not
-     *     match its checksum; the message names the file
+     * @throws dunlinladder.transport.json.InvalidInputException if the file is not a regular file, is too large, is
+     *     malformed or does not match its checksum; the message names the file
      */
-    static AppliedState readPlan(Path file) throws IOException {
-        return read(file, BASE_FIELD);
-    }
-
-    private static AppliedState read(Path file, String serialField) throws IOException {
-        if (!Files.isRegularFile(file) || Files.size(file) > MAX_BYTES) {
-            throw new InvalidInputException(file + ": must be a regular file of at most " + MAX_BYTES + " bytes");
-        }
-        try {
-            JsonObject json = JsonObject.parse(Files.readString(file));
-            JsonObject settings = json.child(SETTINGS_FIELD);
-            SortedMap<String, String> values = new TreeMap<>();
-            settings.fields().keySet().forEach(key -> values.put(key, settings.text(key)));
-            AppliedState state = new AppliedState(json.integer(serialField), FlatSettings.of(values));
-            if (json.has(CHECKSUM_FIELD) && json.integer(CHECKSUM_FIELD) != state.checksum()) {
-                throw new InvalidInputException("the content does not match its checksum");
-            }
-            return state;
-        } catch (InvalidInputException e) {
-            throw new InvalidInputException(file + ": " + e.getMessage());
+    static AppliedState read(Path file) throws IOException {
+        if (!Files.exists(file)) {
+            return none();
         }
+        return StateFile.read(
+                file,
+                SERIAL_FIELD,
+                (json, settings) -> new AppliedState(
+                        json.integer(SERIAL_FIELD), json.has(ID_FIELD) ? json.text(ID_FIELD) : NO_ID, settings));
     }
 
-    /** Writes this state to {@code file} as the applied state. */
+    /** Writes this state to {@code file}. */
     void write(Path file) throws IOException {
-        write(file, SERIAL_FIELD);
+        StateFile.write(file, SERIAL_FIELD, serial, settings, Map.of(ID_FIELD, id));
     }
 
-    /** Writes this state to {@code file} as a saved plan. */
-    void writePlan(Path file) throws IOException {
-        write(file, BASE_FIELD);
-    }
-
-    private void write(Path file, String serialField) throws IOException {
-        String text = JsonObject.write(
-                        Map.of(serialField, serial, CHECKSUM_FIELD, checksum(), SETTINGS_FIELD, settings.values()))
-                + "\n";
-        // A full disk or a disk error may be temporary.
-        TransientFailures.retry("write-state", () -> {
-            replace(file, text);
-            return file;
-        });
-    }
-
-    /** Computes the CRC-32C checksum of the serial number and all settings in the order of their keys. */
-    private long checksum() {
-        CRC32C checksum = new CRC32C();
-        checksum.update(Long.toString(serial).getBytes(StandardCharsets.UTF_8));
+    /**
+     * Returns a digest of the serial number, the id and the settings. Two states have the same one only if one is a
+     * copy of the other, or if both come from versions without ids and are equal.
+     */
+    String revision() {
+        StringBuilder text = new StringBuilder(serial + "\n" + id);
         settings.values()
-                .forEach((key, value) -> checksum.update(("\n" + key + "=" + value).getBytes(StandardCharsets.UTF_8)));
-        return checksum.getValue();
-    }
-
-    /** Replaces the file atomically, so that a crash leaves the old file. */
-    private static void replace(Path file, String text) throws IOException {
-        Path temporary = Files.createTempFile(
-                file.toAbsolutePath().getParent(), file.getFileName().toString(), ".part");
+                .forEach((key, value) ->
+                        text.append('\n').append(key).append('=').append(value));
         try {
-            try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.WRITE)) {
-                ByteBuffer bytes = StandardCharsets.UTF_8.encode(text);
-                while (bytes.hasRemaining()) {
-                    channel.write(bytes);
-                }
-                channel.force(true);
-            }
-            Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-            syncParentFolder(file);
-        } finally {
-            Files.deleteIfExists(temporary);
-        }
-    }
-
-    /** Syncs the folder of the file. Without this, a crash could bring back the old file after success was reported. */
-    private static void syncParentFolder(Path file) throws IOException {
-        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
-            folder.force(true);
+            byte[] digest =
+                    MessageDigest.getInstance("SHA-256").digest(text.toString().getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("each Java platform has SHA-256", e);
         }
     }
 }
--- a/src/main/java/dunlinladder/lifecycle/PlanCommands.java
+++ b/src/main/java/dunlinladder/lifecycle/PlanCommands.java
@@ -55,7 +55,7 @@
         changes.forEach(out::println);
         out.println(changes.isEmpty() ? "No changes." : changes.size() + " changes.");
         if (saveTo.isPresent()) {
-            new AppliedState(current.serial(), target).writePlan(saveTo.get());
+            SavedPlan.from(current, target).write(saveTo.get());
         }
         return changes.isEmpty() ? NO_CHANGES : CHANGES;
     }
@@ -83,11 +83,9 @@
 
     private void applyLocked(Path file, boolean isSavedPlan) throws IOException {
         AppliedState current = AppliedState.read(stateFile);
-        AppliedState plan =
-                isSavedPlan ? AppliedState.readPlan(file) : new AppliedState(current.serial(), readChecked(file));
-        if (plan.serial() != current.serial()) {
-            throw new InvalidInputException(file + " is stale: it was made for state " + plan.serial()
-                    + ", but the current state is " + current.serial() + "; run plan again");
+        SavedPlan plan = isSavedPlan ? SavedPlan.read(file) : SavedPlan.from(current, readChecked(file));
+        if (!plan.isFor(current)) {
+            throw new InvalidInputException(file + " is stale: " + plan.staleReason(current) + "; run plan again");
         }
         ChatConfigChecks.check(plan.settings());
         List<String> changes = changes(current.settings(), plan.settings());
@@ -95,7 +93,7 @@
             out.println("No changes.");
             return;
         }
-        AppliedState next = new AppliedState(current.serial() + 1, plan.settings());
+        AppliedState next = current.next(plan.settings());
         next.write(stateFile);
         changes.forEach(out::println);
         out.println(changes.size() + " changes applied; state " + next.serial() + ".");
--- a/src/test/java/dunlinladder/lifecycle/PlanCommandsTest.java
+++ b/src/test/java/dunlinladder/lifecycle/PlanCommandsTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** The operator's commands, and the error messages for the operator's file and the gateway's configuration. */
 class PlanCommandsTest {
@@ -70,6 +71,75 @@
         assertEquals("400", AppliedState.read(state).settings().values().get("models.find.max_tokens"));
     }
 
+    /** The ways in which another state gets the number of the one that a plan was made for. */
+    enum Replacement {
+        BEGUN_ANEW,
+        BEGUN_ANEW_WITH_EQUAL_SETTINGS,
+        CHANGED_AFTER_A_COPY_WAS_PUT_BACK
+    }
+
+    /** Guards against a plan that is applied to a state that only has the number of the one it was made for. */
+    @ParameterizedTest
+    @EnumSource
+    void savedPlanIsRejectedWhenAnotherStateHasTheSameNumber(Replacement replacement) throws Exception {
+        Path other = Files.writeString(folder.resolve("other"), OperatorsFile.TEXT.replace("300", "500"));
+        commands.apply(file);
+        byte[] copy = Files.readAllBytes(state);
+        if (replacement == Replacement.CHANGED_AFTER_A_COPY_WAS_PUT_BACK) {
+            Files.writeString(file, OperatorsFile.TEXT.replace("300", "350"));
+            commands.apply(file);
+        }
+        Path saved = folder.resolve("saved");
+        Files.writeString(file, OperatorsFile.TEXT.replace("300", "400"));
+        commands.plan(file, Optional.of(saved));
+        Files.delete(state);
+        switch (replacement) {
+            case BEGUN_ANEW -> commands.apply(other);
+            case BEGUN_ANEW_WITH_EQUAL_SETTINGS ->
+                commands.apply(Files.writeString(folder.resolve("equal"), OperatorsFile.TEXT));
+            case CHANGED_AFTER_A_COPY_WAS_PUT_BACK -> {
+                Files.write(state, copy);
+                commands.apply(other);
+            }
+        }
+        byte[] current = Files.readAllBytes(state);
+        InvalidInputException error = assertThrows(InvalidInputException.class, () -> commands.apply(saved));
+        assertTrue(error.getMessage().contains("another state with that number"), error.getMessage());
+        assertArrayEquals(current, Files.readAllBytes(state));
+    }
+
+    @Test
+    void savedPlanIsAppliedToACopyOfItsState() throws Exception {
+        commands.apply(file);
+        byte[] copy = Files.readAllBytes(state);
+        Path saved = folder.resolve("saved");
+        Files.writeString(file, OperatorsFile.TEXT.replace("300", "400"));
+        commands.plan(file, Optional.of(saved));
+        Files.delete(state);
+        Files.write(state, copy);
+        commands.apply(saved);
+        assertEquals("400", AppliedState.read(state).settings().values().get("models.find.max_tokens"));
+    }
+
+    /** Files of earlier versions have no id and no revision. */
+    @Test
+    void stateOfAnEarlierVersionIsReadAndItsPlansAreRejected() throws Exception {
+        commands.apply(file);
+        Files.writeString(state, Files.readString(state).replaceFirst("\"id\":\"[^\"]+\",", ""));
+        assertEquals("", AppliedState.read(state).id());
+        Files.writeString(file, OperatorsFile.TEXT.replace("300", "400"));
+        Path saved = folder.resolve("saved");
+        commands.plan(file, Optional.of(saved));
+        String plan = Files.readString(saved);
+        Files.writeString(saved, plan.replaceFirst("\"base_revision\":\"[^\"]+\",", ""));
+        assertTrue(assertThrows(InvalidInputException.class, () -> commands.apply(saved))
+                .getMessage()
+                .contains("earlier version"));
+        Files.writeString(saved, plan);
+        commands.apply(saved);
+        assertEquals(2, AppliedState.read(state).serial());
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
