--- a/src/test/java/dunlinladder/lifecycle/PlanCommandsTest.java
+++ b/src/test/java/dunlinladder/lifecycle/PlanCommandsTest.java
@@ -9,6 +9,7 @@
 import dunlinladder.transport.json.JsonObject;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -75,7 +76,8 @@
     enum Replacement {
         BEGUN_ANEW,
         BEGUN_ANEW_WITH_EQUAL_SETTINGS,
-        CHANGED_AFTER_A_COPY_WAS_PUT_BACK
+        CHANGED_AFTER_A_COPY_WAS_PUT_BACK,
+        EDITED_BY_HAND
     }
 
     /** Guards against a plan that is applied to a state that only has the number of the one it was made for. */
@@ -101,6 +103,12 @@
                 Files.write(state, copy);
                 commands.apply(other);
             }
+            case EDITED_BY_HAND ->
+                Files.writeString(
+                        state,
+                        new String(copy, StandardCharsets.UTF_8)
+                                .replaceFirst("\"checksum\":\\d+,", "")
+                                .replace("300", "301"));
         }
         byte[] current = Files.readAllBytes(state);
         InvalidInputException error = assertThrows(InvalidInputException.class, () -> commands.apply(saved));
--- a/src/test/java/dunlinladder/transport/http/HttpListenerTest.java
+++ b/src/test/java/dunlinladder/transport/http/HttpListenerTest.java
@@ -70,7 +70,7 @@
                 case FAILING_PATH -> throw new StackOverflowError("thrown by the test");
                 case UNCONFINED_PATH -> throw new UnprintableException();
                 case OPEN_PATH -> openExchanges.add(this);
-                case BLOCKING_PATH -> occupyIoThread();
+                case BLOCKING_PATH -> waitOnIoThread();
                 case SUBMITTED_PATH ->
                     submit(RequestBuilder.request("submitted").build(), null);
                 default -> answer();
@@ -81,7 +81,7 @@
             answer(200, "text/plain", "answer " + answers.incrementAndGet(), Map.of());
         }
 
-        private void occupyIoThread() {
+        private void waitOnIoThread() {
             ioThreadOccupied.countDown();
             try {
                 ioThreadMayContinue.await();
@@ -118,6 +118,18 @@
         client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
     }
 
+    /** Sends a request that stays open and returns its exchange. */
+    private TestExchange sendAndKeepOpen(Socket client) throws IOException, InterruptedException {
+        send(client, OPEN_PATH);
+        return openExchanges.take();
+    }
+
+    /** Occupies the I/O thread until {@link #ioThreadMayContinue}. */
+    private void occupyIoThread(Socket client) throws IOException, InterruptedException {
+        send(client, BLOCKING_PATH);
+        ioThreadOccupied.await();
+    }
+
     private static String readAnswer(Socket client) throws IOException {
         StringBuilder text = new StringBuilder();
         while (!text.toString().matches("(?s).*answer [0-9]")) {
@@ -157,8 +169,7 @@
         try (HttpListener listener = createListener(1)) {
             int port = listen(listener);
             try (Socket only = connect(port)) {
-                send(only, OPEN_PATH);
-                openExchanges.take();
+                sendAndKeepOpen(only);
                 try (Socket leaving = connect(port)) {
                     send(leaving, SUBMITTED_PATH);
                 }
@@ -182,10 +193,8 @@
             int port = listen(listener);
             try (Socket leaving = connect(port);
                     Socket other = connect(port)) {
-                send(leaving, OPEN_PATH);
-                TestExchange open = openExchanges.take();
-                send(other, BLOCKING_PATH);
-                ioThreadOccupied.await();
+                TestExchange open = sendAndKeepOpen(leaving);
+                occupyIoThread(other);
                 assertFalse(open.hasDisconnected());
                 leave(leaving);
                 while (!open.hasDisconnected()) {
@@ -205,10 +214,8 @@
             int port = listen(listener);
             try (Socket pipelining = connect(port);
                     Socket other = connect(port)) {
-                send(pipelining, OPEN_PATH);
-                TestExchange open = openExchanges.take();
-                send(other, BLOCKING_PATH);
-                ioThreadOccupied.await();
+                TestExchange open = sendAndKeepOpen(pipelining);
+                occupyIoThread(other);
                 send(pipelining, "/");
                 assertFalse(open.hasDisconnected());
                 ioThreadMayContinue.countDown();
@@ -229,12 +236,10 @@
             int port = listen(listener);
             try (Socket client = connect(port);
                     Socket other = connect(port)) {
-                send(client, OPEN_PATH);
-                TestExchange answered = openExchanges.take();
+                TestExchange answered = sendAndKeepOpen(client);
                 answered.answer();
                 assertEquals("answer 1", readAnswer(client));
-                send(other, BLOCKING_PATH);
-                ioThreadOccupied.await();
+                occupyIoThread(other);
                 send(client, "/");
                 assertFalse(answered.hasDisconnected());
                 ioThreadMayContinue.countDown();
@@ -252,8 +257,7 @@
             int port = listen(listener);
             try (Socket open = connect(port);
                     Socket failing = connect(port)) {
-                send(open, OPEN_PATH);
-                openExchanges.take();
+                sendAndKeepOpen(open);
                 send(failing, UNCONFINED_PATH);
                 awaitClose(failing);
                 awaitClose(open);
