Allow a body a third of the heap while it is parsed, and count an echoed prompt

Cause: at the default of 160 MB a quarter of the heap is 12 MB, and the estimate for a chat body of 250 KB of very short messages is 12.4 MB (measured need: some 9 MB), so that a request within the limit of 256 KiB would have got 413. One body is parsed at a time, so a third leaves room. The prompt that a reply repeats is held too and now counts.

--- a/src/main/java/dunlinladder/lifecycle/LimitsReader.java
+++ b/src/main/java/dunlinladder/lifecycle/LimitsReader.java
@@ -27,7 +27,7 @@
     /** Ratio of the maximum heap to the part of it that the data of all requests may take. */
     private static final int HEAP_TO_REQUEST_MEMORY_RATIO = 4;
     /** Ratio of the maximum heap to the part of it that one body may take while it is parsed. */
-    private static final int HEAP_TO_PARSED_BODY_RATIO = 4;
+    private static final int HEAP_TO_PARSED_BODY_RATIO = 3;
 
     private static final int MAX_BODY_BYTES = 256 * 1024;
     private static final int MAX_HEAD_BYTES = 16 * 1024;
--- a/src/main/java/dunlinladder/transport/chat/ChatEngineRequest.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatEngineRequest.java
@@ -113,7 +113,7 @@
         }
         return encodedFormat == null
                 ? OptionalLong.empty()
-                : OptionalLong.of((long) client.body().get().content().length + encodedBody.length);
+                : OptionalLong.of(client.body().get().heldBytes() + encodedBody.length);
     }
 
     // ---- Requests to engines ----
--- a/src/main/java/dunlinladder/transport/chat/TranslatableBody.java
+++ b/src/main/java/dunlinladder/transport/chat/TranslatableBody.java
@@ -61,6 +61,11 @@
         parsed = null;
     }
 
+    /** Returns the heap that this object takes once the parsed form is dropped, in bytes. */
+    long heldBytes() {
+        return (long) content.length + (long) Character.BYTES * echoedPrompt.length();
+    }
+
     /** Returns the body as the client sent it. */
     byte[] content() {
         return content;
