Log why an attempt broke, and streams that end before their closing event

Two lines at INFO: attempt_broken with the reason (what the connection showed, what was wrong with the stream, how long the engine was silent) and stream_incomplete where a stream ends with its last chunk before the event that completes it, with the counter streams_incomplete. Which event that is depends on the engine's API format: StreamTerminator. The reason no longer repeats an event's data. What clients get is unchanged.

--- a/src/main/java/dunlinladder/core/Counter.java
+++ b/src/main/java/dunlinladder/core/Counter.java
@@ -28,6 +28,8 @@
     ATTEMPTS_RESET,
     /** Attempts without a first token in time; see {@link Outcome.Ending#TIMEOUT}. */
     ATTEMPTS_TIMED_OUT,
+    /** Streams of engines that ended, with their last chunk, before the event that completes them. */
+    STREAMS_INCOMPLETE,
     /** Connections to engines that were requested. */
     CONNECTS,
     /** Connections to engines that were not established in time. */
--- a/src/main/java/dunlinladder/transport/chat/ChatEngineRequest.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatEngineRequest.java
@@ -16,6 +16,7 @@
 import dunlinladder.migration.RequestConstraints;
 import dunlinladder.transport.engine.EngineRequest;
 import dunlinladder.transport.engine.EngineRequestFactory;
+import dunlinladder.transport.engine.StreamTerminator;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -127,7 +128,7 @@
         if (client.body().isEmpty()) {
             replyTranslator = Optional.empty();
             byte[] body = client.details().body().orElseThrow();
-            return new EngineRequest(POST, engineFormat.path(), ChatExchange.JSON, body);
+            return engineRequest(engineFormat, body);
         }
         TranslatableBody body = client.body().get();
         replyTranslator = Optional.of(new ReplyTranslator(
@@ -135,7 +136,19 @@
                 client.format(),
                 identity(engineFormat, body),
                 client.details().streaming()));
-        return new EngineRequest(POST, engineFormat.path(), ChatExchange.JSON, encode(engineFormat, body));
+        return engineRequest(engineFormat, encode(engineFormat, body));
+    }
+
+    private static EngineRequest engineRequest(ApiFormat format, byte[] body) {
+        return new EngineRequest(POST, format.path(), ChatExchange.JSON, body, terminator(format));
+    }
+
+    private static StreamTerminator terminator(ApiFormat format) {
+        return switch (format) {
+            case COMPLETIONS, CHAT -> StreamTerminator.DONE_MARKER;
+            case RESPONSES -> StreamTerminator.RESPONSE_EVENT;
+            case MESSAGES -> StreamTerminator.MESSAGE_STOP;
+        };
     }
 
     private ReplyEncoder.Identity identity(ApiFormat engineFormat, TranslatableBody body) {
--- a/src/main/java/dunlinladder/transport/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCall.java
@@ -2,6 +2,7 @@
 
 import dunlinladder.core.Attempt;
 import dunlinladder.core.AttemptListener;
+import dunlinladder.core.Counter;
 import dunlinladder.core.EngineTransport;
 import dunlinladder.core.Limits;
 import dunlinladder.core.Outcome;
@@ -24,6 +25,8 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One attempt on the wire: writes the request, relays the stream and determines the outcome. Nothing is ever sent
@@ -38,6 +41,8 @@
  */
 final class EngineCall extends EngineExchange implements EngineTransport.Call {
 
+    private static final Logger LOG = LoggerFactory.getLogger(EngineCall.class);
+
     /**
      * Minimum value of {@code X-Timeout} in seconds; a request whose deadline has already passed is not sent with 0.
      */
@@ -82,7 +87,11 @@
         this.listener = listener;
         this.flowControl = new EngineFlowControl(this::failed);
         this.stream = new EngineStreamRelay(
-                new EventStreamFilter(limits.eventBytes()), flowControl, progress, client, listener);
+                new EventStreamFilter(limits.eventBytes(), request.terminator()),
+                flowControl,
+                progress,
+                client,
+                listener);
         this.responseBody = new BoundedResponseBody(limits.responseBytes());
     }
 
@@ -95,6 +104,9 @@
                 listener.confirmationOverdue();
             }
             if (progress.endIfTimedOut()) {
+                if (progress.isStreaming()) {
+                    logBroken("the engine was silent for " + context.limits().streamSeconds() + " s");
+                }
                 closeConnection();
             }
         }
@@ -140,6 +152,24 @@
         progress.endBroken();
     }
 
+    @Override
+    void exchangeFailed(Exception cause) {
+        if (!progress.hasEnded()) {
+            logBroken(cause.toString());
+        }
+    }
+
+    private void logBroken(String reason) {
+        LOG.info(
+                "event=attempt_broken request={} attempt={} engine={} status={} streaming={} reason=\"{}\"",
+                attempt.request().id(),
+                attempt.number(),
+                attempt.engine().id(),
+                responseHead.status(),
+                progress.isStreaming(),
+                reason);
+    }
+
     @Override
     public void produceRequest(RequestChannel channel, HttpContext httpContext) throws HttpException, IOException {
         if (!mayStart()) {
@@ -232,6 +262,15 @@
     public void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
         if (responseHead.isStream()) {
             stream.end();
+            if (!stream.isTerminated()) {
+                context.counters().increment(Counter.STREAMS_INCOMPLETE);
+                LOG.info(
+                        "event=stream_incomplete request={} attempt={} engine={} streaming={}",
+                        attempt.request().id(),
+                        attempt.number(),
+                        attempt.engine().id(),
+                        progress.isStreaming());
+            }
             progress.end(
                     responseHead.streamOutcome(progress.isStreaming(), stream.cachedTokens(), stream.loadReport()));
         } else {
--- a/src/main/java/dunlinladder/transport/engine/EngineCallContext.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCallContext.java
@@ -1,5 +1,6 @@
 package dunlinladder.transport.engine;
 
+import dunlinladder.core.Counters;
 import dunlinladder.core.Limits;
 import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.SendGuard;
@@ -11,5 +12,11 @@
  * @param sendGuard checked before the first byte of a request is written
  * @param clock the clock of the attempts' deadlines
  * @param limits sizes and times of a call
+ * @param counters the gateway's counters
  */
-record EngineCallContext(EngineConnectionPool connections, SendGuard sendGuard, MonotonicClock clock, Limits limits) {}
+record EngineCallContext(
+        EngineConnectionPool connections,
+        SendGuard sendGuard,
+        MonotonicClock clock,
+        Limits limits,
+        Counters counters) {}
--- a/src/main/java/dunlinladder/transport/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineClient.java
@@ -49,7 +49,8 @@
             Instruments instruments,
             Limits limits,
             ScheduledExecutorService timer) {
-        this.context = new EngineCallContext(connections, sendGuard, instruments.clock(), limits);
+        this.context =
+                new EngineCallContext(connections, sendGuard, instruments.clock(), limits, instruments.counters());
         this.counters = instruments.counters();
         this.cacheHolds = instruments.cacheHolds();
         this.releaseContext = new CacheRelease.Context(connections, engines, limits, timer);
--- a/src/main/java/dunlinladder/transport/engine/EngineExchange.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineExchange.java
@@ -57,6 +57,11 @@
      */
     abstract void connectionFailed();
 
+    /** Reports why the exchange failed, unless it was ended here; {@link #connectionFailed} follows. */
+    void exchangeFailed(Exception cause) {
+        // Releases need no reason.
+    }
+
     /** Reports that the head of the final response was received. */
     abstract void responseHead(HttpResponse response, EntityDetails entity) throws HttpException;
 
@@ -182,6 +187,9 @@
         if (showsStaleConnection(cause)) {
             connections.suspendReuse();
         }
+        if (!isReleased()) {
+            exchangeFailed(cause);
+        }
         abort();
     }
 
--- a/src/main/java/dunlinladder/transport/engine/EngineRequest.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineRequest.java
@@ -11,8 +11,9 @@
  * @param target path with query
  * @param contentType value of {@code Content-Type}, null if the client sent none
  * @param body the body's bytes, empty for no body
+ * @param terminator the event that completes the engine's stream
  */
-public record EngineRequest(String method, String target, String contentType, byte[] body)
+public record EngineRequest(String method, String target, String contentType, byte[] body, StreamTerminator terminator)
         implements EngineRequestFactory {
 
     @Override
--- a/src/main/java/dunlinladder/transport/engine/EngineStreamRelay.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineStreamRelay.java
@@ -58,6 +58,11 @@
         }
     }
 
+    /** Whether the event that completes the stream has been received. */
+    boolean isTerminated() {
+        return filter.isTerminated();
+    }
+
     /** Returns the number of cached prompt tokens that the events state; 0 if they do not state it. */
     double cachedTokens() {
         return filter.cachedTokens();
--- a/src/main/java/dunlinladder/transport/engine/EventStreamFilter.java
+++ b/src/main/java/dunlinladder/transport/engine/EventStreamFilter.java
@@ -20,7 +20,7 @@
 final class EventStreamFilter {
 
     private static final String DATA_FIELD = "data:";
-    private static final String STREAM_END = "[DONE]";
+    private static final String EVENT_FIELD = "event:";
     private static final String LOAD_REPORT_COMMENT = ": " + EngineReportReader.LOAD_HEADER + ":";
     private static final String OTHER_LINE = "(:|event:|id:|retry:)[^\\p{Cntrl}]*";
 
@@ -28,6 +28,7 @@
     private static final int INITIAL_BYTES = 512;
 
     private final int maxEventBytes;
+    private final StreamTerminator terminator;
     /** The bytes of the incomplete event, {@link #size} of them. */
     private byte[] pending = new byte[INITIAL_BYTES];
 
@@ -36,12 +37,21 @@
     private int lineStart;
 
     private boolean dataSeen;
+    private boolean terminated;
+    /** The name of the incomplete event; empty if it has none so far. */
+    private String eventName = "";
+
     private double cachedTokens;
     private Map<String, Double> loadReport = Map.of();
 
-    /** Creates a filter for events of at most {@code maxEventBytes} bytes. */
-    EventStreamFilter(int maxEventBytes) {
+    /**
+     * Creates a filter for events of at most {@code maxEventBytes} bytes.
+     *
+     * @param terminator the event that completes the stream
+     */
+    EventStreamFilter(int maxEventBytes, StreamTerminator terminator) {
         this.maxEventBytes = maxEventBytes;
+        this.terminator = terminator;
     }
 
     /** Returns the number of bytes of the incomplete event. */
@@ -108,6 +118,7 @@
     private boolean checkLine(int start, int end) {
         int contentEnd = end > start && pending[end - 1] == '\r' ? end - 1 : end;
         if (contentEnd == start) {
+            eventName = "";
             return true;
         }
         String line = decode(start, contentEnd);
@@ -117,6 +128,8 @@
             loadReport = EngineReportReader.loadReport(line.substring(LOAD_REPORT_COMMENT.length()));
         } else if (!line.matches(OTHER_LINE)) {
             throw new InvalidInputException("a line is not part of an event");
+        } else if (line.startsWith(EVENT_FIELD)) {
+            eventName = line.substring(EVENT_FIELD.length()).trim();
         }
         return false;
     }
@@ -131,8 +144,11 @@
     }
 
     private void readData(String text) {
-        if (!text.equals(STREAM_END)) {
-            JsonObject event = JsonObject.parse(text);
+        if (StreamTerminator.isMarker(text)) {
+            terminated |= terminator.isDoneMarker();
+        } else {
+            JsonObject event = parse(text);
+            terminated |= terminator.matches(eventName, event);
             if (event.has("usage")) {
                 cachedTokens = EngineReportReader.cachedTokensOfUsage(event);
             }
@@ -140,6 +156,20 @@
         dataSeen = true;
     }
 
+    /** Parses the data of an event; the error does not repeat the data, which is a part of an answer. */
+    private static JsonObject parse(String text) {
+        try {
+            return JsonObject.parse(text);
+        } catch (InvalidInputException e) {
+            throw new InvalidInputException("the data of an event is not a JSON object");
+        }
+    }
+
+    /** Whether the event that completes the stream has been read. */
+    boolean isTerminated() {
+        return terminated;
+    }
+
     /** Returns the number of cached tokens that the events state; 0 if they do not state it. */
     double cachedTokens() {
         return cachedTokens;
--- a/src/main/java/dunlinladder/transport/platform/PlatformExchange.java
+++ b/src/main/java/dunlinladder/transport/platform/PlatformExchange.java
@@ -6,6 +6,7 @@
 import dunlinladder.core.ResponseSink;
 import dunlinladder.core.Seconds;
 import dunlinladder.transport.engine.EngineRequest;
+import dunlinladder.transport.engine.StreamTerminator;
 import dunlinladder.transport.http.MemoryBudget;
 import dunlinladder.transport.http.ServerExchange;
 import dunlinladder.transport.json.InvalidInputException;
@@ -85,7 +86,11 @@
 
     private void submit(HttpRequest head, byte[] content, double earliestSentAt) {
         EngineRequest engineRequest = new EngineRequest(
-                head.getMethod(), head.getRequestUri(), header(head, HttpHeaders.CONTENT_TYPE), content);
+                head.getMethod(),
+                head.getRequestUri(),
+                header(head, HttpHeaders.CONTENT_TYPE),
+                content,
+                StreamTerminator.DONE_MARKER);
         try {
             if (!submit(context.reader.read(name -> header(head, name), engineRequest, earliestSentAt), this)) {
                 throw new InvalidInputException(PlatformRequestReader.REQUEST_ID + " is in use");
--- a/src/test/java/dunlinladder/transport/engine/EngineCallTest.java
+++ b/src/test/java/dunlinladder/transport/engine/EngineCallTest.java
@@ -22,7 +22,8 @@
 @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class EngineCallTest {
 
-    private static final EngineRequest PAYLOAD = new EngineRequest("POST", "/", "text/plain", new byte[] {1});
+    private static final EngineRequest PAYLOAD =
+            new EngineRequest("POST", "/", "text/plain", new byte[] {1}, StreamTerminator.DONE_MARKER);
 
     private static ResponseSink clientThatHasLeft() {
         return (ResponseSink) Proxy.newProxyInstance(
--- a/src/test/java/dunlinladder/transport/engine/EngineResponseHeadTest.java
+++ b/src/test/java/dunlinladder/transport/engine/EngineResponseHeadTest.java
@@ -19,7 +19,7 @@
     private static final EngineRequestFactory REQUESTS = new EngineRequestFactory() {
         @Override
         public EngineRequest requestFor(Engine engine) {
-            return new EngineRequest("POST", "/", null, new byte[0]);
+            return new EngineRequest("POST", "/", null, new byte[0], StreamTerminator.DONE_MARKER);
         }
 
         @Override
--- a/src/test/java/dunlinladder/transport/engine/EventStreamFilterTest.java
+++ b/src/test/java/dunlinladder/transport/engine/EventStreamFilterTest.java
@@ -49,18 +49,18 @@
                 "HTTP/1.1 200 OK//;!"
             })
     void onlyCompleteEventsAreForwardedAndInvalidDataEndsTheStream(String pieces, String forwarded) {
-        assertEquals(forwarded, filter(new EventStreamFilter(64), pieces));
+        assertEquals(forwarded, filter(new EventStreamFilter(64, StreamTerminator.DONE_MARKER), pieces));
     }
 
     @Test
     void usageAndLoadReportOfTheStreamAreRead() {
-        EventStreamFilter filter = new EventStreamFilter(1000);
+        EventStreamFilter filter = new EventStreamFilter(1000, StreamTerminator.DONE_MARKER);
         filter(
                 filter,
                 "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":12}}}//"
                         + ": X-Server-Load: queue=3//data: [DONE]//");
         assertEquals(12, filter.cachedTokens());
         assertEquals(Map.of("queue", 3.0), filter.loadReport());
-        assertEquals(0, new EventStreamFilter(1000).cachedTokens());
+        assertEquals(0, new EventStreamFilter(1000, StreamTerminator.DONE_MARKER).cachedTokens());
     }
 }
--- a/src/test/java/dunlinladder/transport/platform/PlatformRequestReaderTest.java
+++ b/src/test/java/dunlinladder/transport/platform/PlatformRequestReaderTest.java
@@ -6,6 +6,7 @@
 
 import dunlinladder.core.Request;
 import dunlinladder.transport.engine.EngineRequest;
+import dunlinladder.transport.engine.StreamTerminator;
 import dunlinladder.transport.json.InvalidInputException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -17,7 +18,8 @@
 /** Checks the reading of the platform's request headers, and that an error names the invalid header. */
 class PlatformRequestReaderTest {
 
-    private static final EngineRequest ENGINE_REQUEST = new EngineRequest("POST", "/", null, new byte[40]);
+    private static final EngineRequest ENGINE_REQUEST =
+            new EngineRequest("POST", "/", null, new byte[40], StreamTerminator.DONE_MARKER);
     private final PlatformRequestReader reader =
             new PlatformRequestReader(List.of("lookup", "listing"), List.of(4.0, 10.0), List.of("acme", "other"));
 
