--- a/src/test/java/dunlinladder/it/StubAnswer.java
+++ b/src/test/java/dunlinladder/it/StubAnswer.java
@@ -107,9 +107,48 @@
         if (body.contains("[reply ")) {
             return replay(body.replaceAll("(?s).*\\[reply ([a-z-]+)].*", "$1"));
         }
+        if (body.contains("incomplete ")) {
+            return writeIncompleteStream();
+        }
         return request.target().startsWith("/v1/responses") ? writeTypedEvents() : writeChatStream();
     }
 
+    /**
+     * Ends a stream without its closing event, in chunks up to the last one or, with {@code sized}, by the length in
+     * the head. Then waits for the gateway to close the connection.
+     */
+    private boolean writeIncompleteStream() throws IOException {
+        String events = incompleteEvents();
+        if (body.contains("sized")) {
+            RawHttp.write(out, STREAM_HEAD.replace("Transfer-Encoding: chunked", "Content-Length: " + events.length()));
+            RawHttp.write(out, events);
+            return awaitClose();
+        }
+        RawHttp.write(out, STREAM_HEAD);
+        if (!events.isEmpty()) {
+            RawHttp.writeChunk(out, events);
+        }
+        RawHttp.writeLastChunk(out);
+        return awaitClose();
+    }
+
+    private String incompleteEvents() {
+        if (body.contains("before its first event")) {
+            return "";
+        }
+        String events = delta("one", "null");
+        if (body.contains("after its error")) {
+            events += "data: {\"error\":{\"message\":\"inner host\",\"type\":\"server_error\"}}\n\n";
+        }
+        if (body.contains("after its finish reason") || body.contains("after its usage")) {
+            events += delta(" two", "\"stop\"");
+        }
+        if (body.contains("after its usage")) {
+            events += "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":2}}\n\n";
+        }
+        return body.contains("within an event") ? events + "data: {\"choices\":[]}" : events;
+    }
+
     private boolean writeChatStream() throws IOException {
         for (int i = 0; body.contains("interim") && i < INTERIM_RESPONSES; i++) {
             writeHead("103 Early\r\nX: y");
