End a client's stream as whole only behind the closing event of the engine's format

Cause: EngineCall.streamEnd took any end of the HTTP message, the last chunk or the length, for the end of the answer, if one event had come. Whether the engine had said that it was done was never asked.

Change: a stream is complete behind the event that completes it in its engine's format ([DONE], response.completed/incomplete/failed, message_stop) and then its last chunk. Anything else is RESET: the client's connection ends without the last chunk, a safe request without an event yet runs again, the engine's connection is closed in place of put back.

--- a/src/main/java/dunlinladder/core/Outcome.java
+++ b/src/main/java/dunlinladder/core/Outcome.java
@@ -30,7 +30,7 @@
         ERROR,
         /**
          * After the request was written, the connection broke, the stream stayed silent for too long, or the stream
-         * ended without an event.
+         * ended before the event that completes it.
          */
         RESET,
         /** The request was written, but no first token, or no answer to a prefill, came in time. */
--- a/src/main/java/dunlinladder/transport/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCall.java
@@ -154,6 +154,9 @@
 
     @Override
     void exchangeFailed(Exception cause) {
+        if (cause instanceof IncompleteStreamException) {
+            context.counters().increment(Counter.STREAMS_INCOMPLETE);
+        }
         if (!progress.hasEnded()) {
             logBroken(cause.toString());
         }
@@ -262,15 +265,6 @@
     public void streamEnd(List<? extends Header> trailers) throws HttpException, IOException {
         if (responseHead.isStream()) {
             stream.end();
-            if (!stream.isTerminated()) {
-                context.counters().increment(Counter.STREAMS_INCOMPLETE);
-                LOG.info(
-                        "event=stream_incomplete request={} attempt={} engine={} streaming={}",
-                        attempt.request().id(),
-                        attempt.number(),
-                        attempt.engine().id(),
-                        progress.isStreaming());
-            }
             progress.end(
                     responseHead.streamOutcome(progress.isStreaming(), stream.cachedTokens(), stream.loadReport()));
         } else {
--- a/src/main/java/dunlinladder/transport/engine/EngineResponseHead.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineResponseHead.java
@@ -57,8 +57,8 @@
     }
 
     /**
-     * Returns the outcome of an attempt whose response was a stream and is complete, including its last chunk. A stream
-     * without an event does not show what the engine did, so it counts as broken.
+     * Returns the outcome of an attempt whose response was a stream and is complete, including the event that completes
+     * it and its last chunk. A stream without an event does not show what the engine did, so it counts as broken.
      */
     Outcome streamOutcome(boolean hadEvents, double cachedTokens, Map<String, Double> streamReport) {
         return hadEvents
--- a/src/main/java/dunlinladder/transport/engine/EngineStreamRelay.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineStreamRelay.java
@@ -48,21 +48,24 @@
         }
     }
 
-    /** Ends the stream: forwards the remaining bytes. */
-    void end() throws InvalidStreamException {
+    /**
+     * Ends the stream: forwards the remaining bytes.
+     *
+     * @throws IncompleteStreamException if the event that completes the stream has not been received
+     */
+    void end() throws InvalidStreamException, IncompleteStreamException {
         int pendingBytes = filter.pendingBytes();
         try {
-            forward(filter.end(), pendingBytes);
+            ByteBuffer remaining = filter.end();
+            if (!filter.isTerminated()) {
+                throw new IncompleteStreamException();
+            }
+            forward(remaining, pendingBytes);
         } catch (InvalidInputException e) {
             throw new InvalidStreamException(e);
         }
     }
 
-    /** Whether the event that completes the stream has been received. */
-    boolean isTerminated() {
-        return filter.isTerminated();
-    }
-
     /** Returns the number of cached prompt tokens that the events state; 0 if they do not state it. */
     double cachedTokens() {
         return filter.cachedTokens();
--- a/src/main/java/dunlinladder/transport/engine/package-info.java
+++ b/src/main/java/dunlinladder/transport/engine/package-info.java
@@ -11,8 +11,9 @@
  *
  * <p>Rules of this package: nothing is sent a second time here, because the routing policy decides whether to retry. An
  * attempt that fails before its last byte is written has not run; one that fails later may have run. Each event is
- * forwarded as soon as it is complete, without waiting for other events. A stream is reported as complete only when its
- * last chunk was received. An attempt that is given up gets its outcome at once, before its connection is closed.
+ * forwarded as soon as it is complete, without waiting for other events. A stream is reported as complete only when the
+ * event that completes it and then its last chunk were received. An attempt that is given up gets its outcome at once,
+ * before its connection is closed.
  *
  * <p>May use {@code core}, {@code transport.http}, {@code transport.json} and HttpCore; does not depend on the fronts.
  */
--- a/src/test/java/dunlinladder/it/IncompleteStreamTest.java
+++ b/src/test/java/dunlinladder/it/IncompleteStreamTest.java
@@ -31,7 +31,21 @@
             assertTrue(body.startsWith(StubAnswer.delta("one", "null")) && body.endsWith("(cut)"), body);
         }
         assertEquals(1, gateway.decodeRequestCount("POST", fault));
+        Await.until(() -> gateway.hasLogged("event=attempt_broken request=" + requestId));
         Await.until(() -> gateway.abandonedAttemptCount() == 1);
         assertEquals(200, lookupStatus());
     }
+
+    /** A stream without any event does not show what the engine did: only a safe request may run again. */
+    @ParameterizedTest
+    @CsvSource({"lookup, 503, 3", "listing, 502, 1"})
+    void retriesOnlySafeRequestsWhenAStreamEndsBeforeItsFirstEvent(String serviceClass, int status, int decodeCount)
+            throws Exception {
+        String fault = "incomplete before its first event";
+        try (TestClient client = gateway.post(requestId, serviceClass, "5.0", fault)) {
+            assertTrue(client.readHead());
+            assertEquals(status, client.status);
+            assertEquals(decodeCount, gateway.decodeRequestCount("POST", fault));
+        }
+    }
 }
--- a/src/test/java/dunlinladder/transport/engine/EventStreamFilterTest.java
+++ b/src/test/java/dunlinladder/transport/engine/EventStreamFilterTest.java
@@ -52,6 +52,31 @@
         assertEquals(forwarded, filter(new EventStreamFilter(64, StreamTerminator.DONE_MARKER), pieces));
     }
 
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "DONE_MARKER; data: [DONE]//; true",
+                "DONE_MARKER; data: [DONE]//: X-Server-Load: queue=3//; true",
+                "DONE_MARKER; data: [DONE]; true",
+                "DONE_MARKER; data: {\"choices\":[{\"finish_reason\":\"stop\"}]}//; false",
+                "DONE_MARKER; data: {\"type\":\"response.completed\"}//; false",
+                "RESPONSE_EVENT; data: {\"type\":\"response.completed\"}//; true",
+                "RESPONSE_EVENT; event: response.incomplete/data: {}//; true",
+                "RESPONSE_EVENT; data: {\"type\":\"response.failed\"}//; true",
+                "RESPONSE_EVENT; data: {\"type\":\"error\"}//; false",
+                "RESPONSE_EVENT; data: [DONE]//; false",
+                "RESPONSE_EVENT; event: response.completed//data: {}//; false",
+                "MESSAGE_STOP; event: message_stop/data: {\"type\":\"message_stop\"}//; true",
+                "MESSAGE_STOP; data: {\"type\":\"message_delta\"}//; false",
+                "MESSAGE_STOP; data: {\"type\":7}//; false"
+            })
+    void aStreamIsCompleteBehindTheClosingEventOfItsFormat(StreamTerminator terminator, String text, boolean complete) {
+        EventStreamFilter filter = new EventStreamFilter(1000, terminator);
+        filter(filter, text);
+        assertEquals(complete, filter.isTerminated());
+    }
+
     @Test
     void usageAndLoadReportOfTheStreamAreRead() {
         EventStreamFilter filter = new EventStreamFilter(1000, StreamTerminator.DONE_MARKER);
