End an interrupted reply of the chat front without the last chunk

Callers saw: behind the error event of an interrupted reply the chat front ended the response with the last chunk, so that a client that goes by the framing alone took it for whole; by the protocol page a stream that broke ends without the last chunk. The error event and the missing end marker stay as they were.

Tests, each seen failing before (12 failures, 1 error): ChatFrontTest, ClientFormatTest and NewServersTest look for the cut behind the error in every format, for streams that break and that end before their closing event, and that clients that don't stream get 502. The check in ChatFrontTest that nothing follows the error now wants the cut as well.

--- a/src/main/java/dunlinladder/transport/chat/ChatExchange.java
+++ b/src/main/java/dunlinladder/transport/chat/ChatExchange.java
@@ -233,6 +233,12 @@
         finish();
     }
 
+    /** Sends the pending text, and closes the connection without the last chunk. */
+    private void cutStream() {
+        write(takePendingText(), written -> {});
+        abort();
+    }
+
     @Override
     public void complete() {
         Optional<ReplyTranslator> translator = engineRequest.replyTranslator();
@@ -260,7 +266,10 @@
         }
     }
 
-    /** Ends a reply that was interrupted before its closing event: the client gets an error and no {@code [DONE]}. */
+    /**
+     * Ends a reply that was interrupted before its closing event: the client gets an error, no {@code [DONE]} and no
+     * last chunk.
+     */
     @Override
     public void abortStream() {
         ChatError error = ChatError.replyInterrupted();
@@ -270,10 +279,10 @@
         } else if (translator.isPresent()) {
             ApiError apiError = new ApiError(ApiError.Kind.SERVER, error.getMessage(), Optional.empty());
             translator.get().fail(apiError, onTranslatedText);
-            closeStream();
+            cutStream();
         } else {
             relay.send(error.json());
-            closeStream();
+            cutStream();
         }
     }
 
--- a/src/test/java/dunlinladder/it/ChatFrontTest.java
+++ b/src/test/java/dunlinladder/it/ChatFrontTest.java
@@ -104,6 +104,7 @@
             String body = client.readBody();
             assertTrue(body.contains("\"error\":{\"message\""), body);
             assertFalse(body.contains("[DONE]"), body);
+            assertEquals(status == 200, body.endsWith("(cut)"), body);
             // Client libraries retry after a 5xx on their own unless this header forbids it.
             assertEquals(status >= 500 ? "false" : null, client.headers.get("X-Should-Retry"));
             assertEquals(status == 429, client.headers.containsKey("Retry-After"));
@@ -286,9 +287,9 @@
             if (client.status == 200 && stream) {
                 assertEquals(1, endMarkers + errors, name + body);
                 assertEquals(fault.equals("cut") || fault.equals("unclosed") ? 1 : 0, errors, name);
-                // Nothing may follow the terminal event.
+                // Nothing may follow the terminal event, and only a whole reply ends with the last chunk.
                 assertTrue(
-                        body.endsWith("\n\n")
+                        body.endsWith(errors > 0 ? "\n\n(cut)" : "\n\n")
                                 && body.lastIndexOf("data: ")
                                         == Math.max(body.indexOf("data: [DONE]"), body.indexOf("data: {\"error\"")),
                         body);
--- a/src/test/java/dunlinladder/it/ClientFormatTest.java
+++ b/src/test/java/dunlinladder/it/ClientFormatTest.java
@@ -117,6 +117,9 @@
         "/v1/messages, list, hang-prefill, 529",
         "/v1/responses, list, hang-decode, 504",
         "/v1/responses, list, unclosed, 502",
+        "/v1/chat/completions, list, incomplete after its first event, 502",
+        "/v1/messages, list, incomplete after its finish reason, 502",
+        "/v1/completions, list, sized incomplete after its usage, 502",
         "/v1/messages, gone, plain, 404",
         "/v1/responses, find, error-decode, 429"
     })
@@ -157,25 +160,34 @@
     }
 
     /**
-     * A stream that breaks after its first event ends with a failure in the client's format, never with the end marker.
+     * A stream that breaks after its first event, or ends before its closing event, ends with a failure in the client's
+     * format, never with the end marker or the last chunk.
      */
     @ParameterizedTest
-    @CsvSource({"/v1/responses, response.failed", "/v1/messages, error", "/v1/completions, ''"})
-    void endsWithOneFailureWhenAStreamBreaks(String path, String type) throws Exception {
-        try (TestClient client = post(path, body(path, "list", true, "spoilt size " + path, ""))) {
+    @CsvSource({
+        "/v1/responses, response.failed, spoilt size",
+        "/v1/messages, error, spoilt size",
+        "/v1/completions, '', spoilt size",
+        "/v1/responses, response.failed, incomplete after its usage",
+        "/v1/messages, error, incomplete after its finish reason",
+        "/v1/completions, '', incomplete after its first event",
+        "/v1/chat/completions, '', incomplete after its first event"
+    })
+    void endsWithOneFailureWhenAStreamBreaks(String path, String type, String fault) throws Exception {
+        try (TestClient client = post(path, body(path, "list", true, fault + " " + path, ""))) {
             assertTrue(client.readHead());
             assertEquals(200, client.status);
             String stream = client.readBody();
             List<JsonNode> events = events(stream);
             assertEquals(type, events.get(events.size() - 1).path("type").asText(), stream);
-            assertTrue(stream.contains("broke off"), stream);
+            assertTrue(stream.contains("broke off") && stream.endsWith("(cut)"), stream);
             assertFalse(
                     stream.contains("[DONE]")
                             || stream.contains("message_stop")
                             || stream.contains("response.completed"),
                     stream);
         }
-        assertEquals(1, CHAT.gateway().decodeRequestCount("POST", "spoilt size " + path));
+        assertEquals(1, CHAT.gateway().decodeRequestCount("POST", fault + " " + path));
     }
 
     @Test
--- a/src/test/java/dunlinladder/it/NewServersTest.java
+++ b/src/test/java/dunlinladder/it/NewServersTest.java
@@ -85,14 +85,10 @@
                         || request.method().equals("DELETE")));
         // A fault at each event of the answer: whatever the client has received by then, its stream must not end like a
         // complete one.
-        for (int written = 0; written < 12; written++) {
-            try (TestClient client = post(path, "list", true, "broken after " + written + " events")) {
-                assertTrue(client.readHead());
-                String body = client.readBody();
-                assertFalse(body.contains("[DONE]") || body.contains("message_stop"), written + ": " + body);
-                assertTrue(client.status == 502 || body.contains("error"), written + ": " + body);
+        for (String fault : List.of("broken", "ended")) {
+            for (int written = 0; written < 12; written++) {
+                assertReplyIsInterrupted(path, fault + " after " + written + " events");
             }
-            assertEquals(1, gateway.decodeRequestCount("POST", "broken after " + written + " events"));
         }
         try (TestClient client = post(path, "list", true, "failing")) {
             assertTrue(client.readHead());
@@ -101,6 +97,20 @@
         }
     }
 
+    private void assertReplyIsInterrupted(String path, String fault) throws Exception {
+        for (boolean streaming : new boolean[] {true, false}) {
+            String text = fault + " streaming " + streaming;
+            try (TestClient client = post(path, "list", streaming, text)) {
+                assertTrue(client.readHead());
+                String body = client.readBody();
+                assertFalse(body.contains("[DONE]") || body.contains("message_stop"), text + ": " + body);
+                assertTrue(client.status == 502 || streaming && body.contains("error"), text + ": " + body);
+                assertEquals(client.status == 200, body.endsWith("(cut)"), text + ": " + body);
+            }
+            assertEquals(1, gateway.decodeRequestCount("POST", text));
+        }
+    }
+
     /** An engine that answers 404 soon gets no more requests, and no listing fails because of it. */
     @Test
     void avoidsAnEngineThatDoesNotSupportItsGenerationsFormat() throws Exception {
--- a/src/test/java/dunlinladder/it/StubAnswer.java
+++ b/src/test/java/dunlinladder/it/StubAnswer.java
@@ -229,14 +229,14 @@
 
     /**
      * Streams a recorded answer in the responses format, which has items and typed events. With {@code broken after N}
-     * in the request the connection is closed after N events, without the end of the stream. With {@code failing} the
-     * answer ends with an event that reports a failure.
+     * in the request the connection is closed after N events, without the end of the stream; with {@code ended after N}
+     * the last chunk follows them. With {@code failing} the answer ends with an event that reports a failure.
      */
     private boolean writeTypedEvents() throws IOException {
         RawHttp.write(out, STREAM_HEAD);
         String[] events = resource("/apiformat/text-responses.sse").split(EVENT_BOUNDARY);
-        int written = body.matches("(?s).*broken after \\d+.*")
-                ? Integer.parseInt(body.replaceAll("(?s).*broken after (\\d+).*", "$1"))
+        int written = body.matches("(?s).*(broken|ended) after \\d+.*")
+                ? Integer.parseInt(body.replaceAll("(?s).*(?:broken|ended) after (\\d+).*", "$1"))
                 : events.length;
         for (int i = 0; i < written; i++) {
             if (body.contains("failing") && i == FAILING_EVENT_INDEX) {
@@ -249,7 +249,7 @@
             }
             RawHttp.writeChunk(out, events[i]);
         }
-        if (written < events.length) {
+        if (written < events.length && body.contains("broken after")) {
             return false;
         }
         RawHttp.writeLastChunk(out);
