Refuse chunk sizes with control characters before them, and trailers without a name

String.trim drops every control character, so \x01\x020 passed; a line behind the last chunk that is no field was skipped.

Change: a chunk's head is matched whole, with blanks and tabs only round the size; a trailer needs a name. Test: five rows in HeadsAndChunksTest, four of them failed before (expected <hello!> but was <hello>), 42 of 42 behind it.

--- a/src/main/java/dunlinladder/transport/http/ChunkedBodyDecoder.java
+++ b/src/main/java/dunlinladder/transport/http/ChunkedBodyDecoder.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.util.List;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.Header;
@@ -19,7 +20,10 @@
  */
 public final class ChunkedBodyDecoder implements ContentDecoder {
 
-    private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9A-Fa-f]{1,8}");
+    /** A chunk's size, with the extensions after it. */
+    private static final Pattern CHUNK_HEAD = Pattern.compile("[ \\t]*([0-9A-Fa-f]{1,8})[ \\t]*(;.*)?");
+
+    private static final Pattern TRAILER = Pattern.compile("[^:\\s]+:.*");
     private static final int HEXADECIMAL = 16;
     /** Maximum length of a line with a chunk's size and its extensions, or with a trailer. */
     private static final int MAX_LINE_BYTES = 256;
@@ -99,13 +103,12 @@
     }
 
     private void beginChunk(String text) throws IOException {
-        int extensions = text.indexOf(';');
-        String size = (extensions < 0 ? text : text.substring(0, extensions)).trim();
-        if (!CHUNK_SIZE.matcher(size).matches() || Long.parseLong(size, HEXADECIMAL) > maxChunkBytes) {
+        Matcher head = CHUNK_HEAD.matcher(text);
+        if (!head.matches() || Long.parseLong(head.group(1), HEXADECIMAL) > maxChunkBytes) {
             throw new MalformedChunkCodingException(
                     "the chunk size is malformed or over the maximum in bytes of " + maxChunkBytes);
         }
-        remainingChunkBytes = Integer.parseInt(size, HEXADECIMAL);
+        remainingChunkBytes = Integer.parseInt(head.group(1), HEXADECIMAL);
         state = remainingChunkBytes == 0 ? State.TRAILERS : State.CHUNK_DATA;
     }
 
@@ -116,6 +119,8 @@
         }
         if (text.isEmpty()) {
             state = State.COMPLETE;
+        } else if (!TRAILER.matcher(text).matches()) {
+            throw new MalformedChunkCodingException("a trailer has no name");
         }
     }
 
--- a/src/test/java/dunlinladder/transport/http/HeadsAndChunksTest.java
+++ b/src/test/java/dunlinladder/transport/http/HeadsAndChunksTest.java
@@ -132,7 +132,12 @@
         "-5/hello, !",
         "0x5/hello, !",
         "+5/hello, !",
-        "/, !"
+        "/, !",
+        "5/hello/\u0001\u00020//, hello!",
+        "5/hello/0\u0000//, hello!",
+        "5/hello/0 \t;a=b//, hello",
+        "5/hello/0/noise//, hello!",
+        "5/hello/0/: x//, hello!"
     })
     void returnsTheDataBeforeAFaultOrTheEnd(String chunks, String expected) {
         assertEquals(expected, body(chunks));
