Let the bytes of a slow event count, and wait 4.7 s in place of 4 s for silence

Change: every byte of a stream moves the time; an event has 60 s from its first byte on. So that noise that never ends a line isn't taken for a slow event, an incomplete line has to begin like a line of an event.

Run: PlatformRulesTest.forwardsAnEventThatItsEngineWritesSlowly (a real process, 2 KB in pieces for 6 s) and the row of EventStreamFilterTest on noise failed with the two calls taken out, and pass; the silent stream is still cut without the last chunk.

--- a/src/main/java/dunlinladder/core/Limits.java
+++ b/src/main/java/dunlinladder/core/Limits.java
@@ -107,14 +107,17 @@
      * @param sendGuardSeconds maximum time that a send waits while an endpoint update has arrived but has not been read
      * @param answerMarginSeconds time before the client's deadline at which an attempt without a first token ends
      * @param streamSeconds time without data in a stream after which the stream counts as broken
+     * @param eventSeconds time that an event of a stream may take from its first byte to its last one
      */
-    public record AttemptTimes(double sendGuardSeconds, double answerMarginSeconds, double streamSeconds) {
+    public record AttemptTimes(
+            double sendGuardSeconds, double answerMarginSeconds, double streamSeconds, double eventSeconds) {
 
         /** Checks the values. */
         public AttemptTimes {
             requireNotNegative(sendGuardSeconds, "sendGuardSeconds");
             requireNotNegative(answerMarginSeconds, "answerMarginSeconds");
             requireNotNegative(streamSeconds, "streamSeconds");
+            requireNotNegative(eventSeconds, "eventSeconds");
         }
     }
 
@@ -285,6 +288,11 @@
         return attempts.streamSeconds();
     }
 
+    /** See {@link AttemptTimes}. */
+    public double eventSeconds() {
+        return attempts.eventSeconds();
+    }
+
     /** See {@link ReleaseLimits}. */
     public double releaseSeconds() {
         return releases.releaseSeconds();
--- a/src/main/java/dunlinladder/lifecycle/LimitsReader.java
+++ b/src/main/java/dunlinladder/lifecycle/LimitsReader.java
@@ -44,7 +44,14 @@
     private static final double REUSE_SUSPENSION_SECONDS = 30;
     private static final double SEND_GUARD_SECONDS = 0.02;
     private static final double ANSWER_MARGIN_SECONDS = 0.04;
-    private static final double STREAM_SECONDS = 4;
+    /**
+     * The platform protocol specification lets a client wait for less than 5 s after the last event of an engine that
+     * has stopped. The rest is for ending its connection, by a process that may be held up for 0.15 s.
+     */
+    private static final double STREAM_SECONDS = 4.7;
+    /** Limits how long an engine can hold a client by sending single bytes. */
+    private static final double EVENT_SECONDS = 60;
+
     private static final double RELEASE_SECONDS = 0.15;
     private static final int RELEASE_ATTEMPTS = 8;
     private static final double REQUEST_SECONDS = 2.5;
@@ -97,7 +104,7 @@
                 new Limits.EngineResponseLimits(MAX_INTERIM_RESPONSES, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES),
                 capacity(process, caps),
                 engineConnectionTimes(caps),
-                new Limits.AttemptTimes(SEND_GUARD_SECONDS, ANSWER_MARGIN_SECONDS, STREAM_SECONDS),
+                new Limits.AttemptTimes(SEND_GUARD_SECONDS, ANSWER_MARGIN_SECONDS, STREAM_SECONDS, EVENT_SECONDS),
                 new Limits.ReleaseLimits(RELEASE_SECONDS, RELEASE_ATTEMPTS),
                 new Limits.ClientTimes(
                         REQUEST_SECONDS,
--- a/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
+++ b/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
@@ -1,10 +1,10 @@
 package dunlinladder.transport.engine;
 
 import dunlinladder.core.ArrivalDeadlines;
-import dunlinladder.core.MonotonicClock;
 import dunlinladder.core.Outcome;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 
 /**
  * The phase of one attempt, its deadlines, and its outcome, which is set once. Times are clock times in seconds.
@@ -45,7 +45,9 @@
      */
     private static final int CHECKS_PER_STREAM_TIMEOUT = 8;
 
-    private final MonotonicClock clock;
+    /** Returns the clock time. */
+    private final DoubleSupplier clock;
+
     private final Deadlines deadlines;
     private final EndListener listener;
     private final double startedAt;
@@ -55,6 +57,9 @@
     private boolean overdueReported;
     private double firstEventAt = Double.NaN;
     private double lastActivityAt;
+    /** Time since which an event has been incomplete and could have been received; NaN if none is. */
+    private double eventIncompleteSince = Double.NaN;
+
     private int undeliveredBytes;
     private Outcome outcome;
 
@@ -64,15 +69,16 @@
      * @param arrival deadlines by which the request must be written and the first byte of its answer must be received
      * @param firstEvent clock time in seconds by which the first event must be received
      * @param streamSeconds seconds of silence within the stream after which the attempt times out
+     * @param eventSeconds seconds within which an event of the stream must be complete, however slowly it comes
      */
-    record Deadlines(ArrivalDeadlines arrival, double firstEvent, double streamSeconds) {}
+    record Deadlines(ArrivalDeadlines arrival, double firstEvent, double streamSeconds, double eventSeconds) {}
 
-    /** Creates the progress of an attempt that starts now. */
-    AttemptProgress(MonotonicClock clock, Deadlines deadlines, EndListener listener) {
+    /** Creates the progress of an attempt that starts now; {@code clock} returns the clock time. */
+    AttemptProgress(DoubleSupplier clock, Deadlines deadlines, EndListener listener) {
         this.clock = clock;
         this.deadlines = deadlines;
         this.listener = listener;
-        this.startedAt = clock.now();
+        this.startedAt = clock.getAsDouble();
     }
 
     // ---- Sending ----
@@ -104,7 +110,7 @@
     synchronized void requestWritten() {
         if (phase.compareTo(AttemptPhase.WRITTEN) < 0) {
             phase = AttemptPhase.WRITTEN;
-            writtenAt = clock.now();
+            writtenAt = clock.getAsDouble();
         }
     }
 
@@ -118,7 +124,7 @@
         boolean overdue = phase == AttemptPhase.WRITTEN
                 && !overdueReported
                 && !hasEnded()
-                && clock.now() >= deadlines.arrival().confirmedWhenWrittenAt(writtenAt);
+                && clock.getAsDouble() >= deadlines.arrival().confirmedWhenWrittenAt(writtenAt);
         overdueReported |= overdue;
         return overdue;
     }
@@ -134,17 +140,37 @@
             return StreamPosition.AFTER_END;
         }
         boolean first = phase != AttemptPhase.STREAMING;
-        firstEventAt = first ? clock.now() : firstEventAt;
+        firstEventAt = first ? clock.getAsDouble() : firstEventAt;
         phase = AttemptPhase.STREAMING;
-        lastActivityAt = clock.now();
+        lastActivityAt = clock.getAsDouble();
+        eventIncompleteSince = Double.NaN;
         undeliveredBytes += bytes;
         return first ? StreamPosition.FIRST : StreamPosition.LATER;
     }
 
+    /**
+     * Reports that bytes of the stream were received, after the events that they completed were reported. An engine
+     * that writes a long event slowly is not silent.
+     *
+     * @param eventIncomplete whether a part of an event is waiting for its rest
+     */
+    synchronized void bytesArrived(boolean eventIncomplete) {
+        lastActivityAt = clock.getAsDouble();
+        if (!eventIncomplete) {
+            eventIncompleteSince = Double.NaN;
+        } else if (Double.isNaN(eventIncompleteSince)) {
+            eventIncompleteSince = lastActivityAt;
+        }
+    }
+
     /** Reports that {@code bytes} bytes of the events were delivered to the client. */
     synchronized void eventsDelivered(int bytes) {
         undeliveredBytes -= bytes;
-        lastActivityAt = clock.now();
+        lastActivityAt = clock.getAsDouble();
+        if (!Double.isNaN(eventIncompleteSince)) {
+            // Until now the engine may have been kept from sending the rest.
+            eventIncompleteSince = lastActivityAt;
+        }
     }
 
     /** Whether an event was received. */
@@ -188,7 +214,7 @@
      * @return whether the deadline has passed
      */
     synchronized boolean endIfTimedOut() {
-        if (clock.now() < deadline()) {
+        if (clock.getAsDouble() < deadline()) {
             return false;
         }
         end(Outcome.of(phase.endingWhenTimedOut()));
@@ -207,7 +233,7 @@
      * @return whether there is an outcome
      */
     boolean awaitEnd() throws InterruptedException {
-        double remainingSeconds = nextDeadline() - clock.now();
+        double remainingSeconds = nextDeadline() - clock.getAsDouble();
         double seconds = Math.max(0, Math.min(remainingSeconds, deadlines.streamSeconds() / CHECKS_PER_STREAM_TIMEOUT));
         // An interrupted thread also gets an outcome that is already there.
         return hasEnded() || ended.await((long) (seconds * NANOS_PER_SECOND), TimeUnit.NANOSECONDS);
@@ -228,21 +254,31 @@
         }
         // The request may be written during the wait, and its answer may then be overdue from this time on.
         double confirmationDeadline = deadlines.arrival().confirmed();
-        return confirmationDeadline > clock.now() ? Math.min(confirmationDeadline, deadline()) : deadline();
+        return confirmationDeadline > clock.getAsDouble() ? Math.min(confirmationDeadline, deadline()) : deadline();
     }
 
     /**
      * Returns the deadline of the current phase in clock seconds. Until the request is written, it is the time until
      * which the KV cache may wait for the request, but no later than the deadline of the first event. Until the stream
-     * begins, it is the deadline of the first event. After that, an engine that stays silent for {@code streamSeconds}
-     * times out; otherwise its client would wait forever. The engine does not count as silent while received events are
-     * not delivered to the client.
+     * begins, it is the deadline of the first event. After that, an engine that stays silent for {@code streamSeconds},
+     * or does not complete an event within {@code eventSeconds}, times out; otherwise its client would wait forever.
+     * The engine does not count as silent while received events are not delivered to the client.
      */
     private synchronized double deadline() {
         return switch (phase) {
             case CONNECTING, WRITING -> Math.min(deadlines.arrival().written(), deadlines.firstEvent());
             case WRITTEN, CONFIRMED -> deadlines.firstEvent();
-            case STREAMING -> (undeliveredBytes > 0 ? clock.now() : lastActivityAt) + deadlines.streamSeconds();
+            case STREAMING -> streamDeadline();
         };
     }
+
+    private double streamDeadline() {
+        if (undeliveredBytes > 0) {
+            return clock.getAsDouble() + deadlines.streamSeconds();
+        }
+        double silenceDeadline = lastActivityAt + deadlines.streamSeconds();
+        return Double.isNaN(eventIncompleteSince)
+                ? silenceDeadline
+                : Math.min(silenceDeadline, eventIncompleteSince + deadlines.eventSeconds());
+    }
 }
--- a/src/main/java/dunlinladder/transport/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCall.java
@@ -80,8 +80,9 @@
         this.request = requestFactory.requestFor(attempt.engine());
         this.requestBody = ByteBuffer.wrap(request.body());
         this.progress = new AttemptProgress(
-                context.clock(),
-                new AttemptProgress.Deadlines(attempt.arrival(), attempt.firstTokenDeadline(), limits.streamSeconds()),
+                context.clock()::now,
+                new AttemptProgress.Deadlines(
+                        attempt.arrival(), attempt.firstTokenDeadline(), limits.streamSeconds(), limits.eventSeconds()),
                 this::reportOutcome);
         this.client = client;
         this.listener = listener;
@@ -105,7 +106,7 @@
             }
             if (progress.endIfTimedOut()) {
                 if (progress.isStreaming()) {
-                    logBroken("the engine was silent for " + context.limits().streamSeconds() + " s");
+                    logBroken("the stream did not continue in time");
                 }
                 closeConnection();
             }
--- a/src/main/java/dunlinladder/transport/engine/EngineStreamRelay.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineStreamRelay.java
@@ -43,6 +43,7 @@
             // The bytes of an incomplete event are not forwarded to the client yet, so they are granted now.
             flowControl.grant(size - Math.max(0, events.remaining() - pendingBytes));
             forward(events, pendingBytes);
+            progress.bytesArrived(filter.pendingBytes() > 0);
         } catch (InvalidInputException e) {
             throw new InvalidStreamException(e);
         }
--- a/src/main/java/dunlinladder/transport/engine/EventStreamFilter.java
+++ b/src/main/java/dunlinladder/transport/engine/EventStreamFilter.java
@@ -6,7 +6,9 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * Splits an engine's stream into complete events. Checks each line before it is forwarded unchanged. A line that is not
@@ -22,6 +24,9 @@
     private static final String DATA_FIELD = "data:";
     private static final String EVENT_FIELD = "event:";
     private static final String LOAD_REPORT_COMMENT = ": " + EngineReportReader.LOAD_HEADER + ":";
+    private static final List<byte[]> LINE_BEGINNINGS = Stream.of(DATA_FIELD, ":", EVENT_FIELD, "id:", "retry:", "\r")
+            .map(beginning -> beginning.getBytes(StandardCharsets.US_ASCII))
+            .toList();
     private static final String OTHER_LINE = "(:|event:|id:|retry:)[^\\p{Cntrl}]*";
 
     /** Initial capacity of the buffer; most events of a few tokens fit. */
@@ -78,6 +83,7 @@
                 completeBytes = blank && dataSeen ? lineStart : completeBytes;
             }
         }
+        checkIncompleteLine();
         if (size - completeBytes > maxEventBytes) {
             throw new InvalidInputException("an event is longer than " + maxEventBytes + " bytes");
         }
@@ -97,6 +103,18 @@
         return removeFirst(size);
     }
 
+    /** Checks how the incomplete line begins, so that noise that never ends a line is not taken for a slow event. */
+    private void checkIncompleteLine() {
+        int length = size - lineStart;
+        for (byte[] beginning : LINE_BEGINNINGS) {
+            int compared = Math.min(length, beginning.length);
+            if (Arrays.equals(pending, lineStart, lineStart + compared, beginning, 0, compared)) {
+                return;
+            }
+        }
+        throw new InvalidInputException("a line does not begin like a part of an event");
+    }
+
     private void append(ByteBuffer piece) {
         int bytes = piece.remaining();
         if (size + bytes > pending.length) {
--- a/src/test/java/dunlinladder/it/PlatformRulesTest.java
+++ b/src/test/java/dunlinladder/it/PlatformRulesTest.java
@@ -135,6 +135,16 @@
         assertEquals(1, gateway.decodeRequestCount("POST", fault));
     }
 
+    /** Guards against a long answer that is cut off while its engine still writes it slowly (report 906079, a). */
+    @Test
+    void forwardsAnEventThatItsEngineWritesSlowly() throws Exception {
+        try (TestClient client = gateway.post(requestId, "listing", "5.0", "trickled")) {
+            assertTrue(client.readHead());
+            assertTrue(client.readBody().endsWith("data: [DONE]\n\n"));
+        }
+        assertEquals(1, gateway.decodeRequestCount("POST", "trickled"));
+    }
+
     /**
      * Guards against one engine's malformed event that ends all other streams and, from then on, all traffic to
      * engines: an event of 2,000 opening brackets overflowed the stack of the thread that serves all engines.
--- a/src/test/java/dunlinladder/it/StubAnswer.java
+++ b/src/test/java/dunlinladder/it/StubAnswer.java
@@ -24,6 +24,11 @@
     private static final int ENDLESS_HEADER_LINES = 5000;
     private static final int FAILING_EVENT_INDEX = 5;
     private static final int OPENING_BRACKETS = 2000;
+    private static final int TRICKLED_CHARACTERS = 2000;
+    private static final int TRICKLED_PIECE_CHARACTERS = 200;
+    /** A whole trickled event takes longer than an engine may be silent. */
+    private static final double TRICKLE_PAUSE_SECONDS = 0.6;
+
     /** Matches the place between two events, so that each event keeps its closing empty line. */
     private static final String EVENT_BOUNDARY = "(?<=\n\n)";
 
@@ -186,6 +191,9 @@
     }
 
     private void writeMiddleEvents() throws IOException {
+        if (body.contains("trickled")) {
+            writeSlowly(delta("x".repeat(TRICKLED_CHARACTERS), "null"));
+        }
         if (body.contains("cut later")) {
             // If the break came together with the first event, the gateway could see the break first.
             Await.until(() -> server.firstEventReceived || server.isClosed());
@@ -216,6 +224,17 @@
         return true;
     }
 
+    /**
+     * Writes one event in pieces, each a chunk, with pauses that are shorter than those of an engine that is silent.
+     */
+    private void writeSlowly(String event) throws IOException {
+        for (int start = 0; start < event.length(); start += TRICKLED_PIECE_CHARACTERS) {
+            SoakFaults.sleep(TRICKLE_PAUSE_SECONDS);
+            RawHttp.writeChunk(
+                    out, event.substring(start, Math.min(start + TRICKLED_PIECE_CHARACTERS, event.length())));
+        }
+    }
+
     /** Streams a recorded answer unchanged. */
     private boolean replay(String name) throws IOException {
         String recorded = resource("/conformance/" + name + ".sse");
