Refuse a request whose id may have run and must not run again

Cause: the facts of a request's attempts were dropped with the request, so that the same id was a new request.

Change: RecentRuns keeps the last 4,096 ids that may have run in a class that restricts reruns; such an id gets 400 like one that is in flight (event=request_repeated, counter requests_repeated). What has not run, or may run anywhere, is accepted as before.

--- a/src/main/java/dunlinladder/core/Counter.java
+++ b/src/main/java/dunlinladder/core/Counter.java
@@ -16,6 +16,8 @@
     CLIENTS_GONE,
     /** Requests that were not submitted, because their client had closed its connection before they were read. */
     CLIENTS_GONE_BEFORE_SUBMISSION,
+    /** Requests that were not accepted, because one with the same id may have run and must not run again. */
+    REQUESTS_REPEATED,
     /** Reservations of memory for the data of a request that were refused; the request is rejected. */
     REQUEST_MEMORY_REFUSED,
     /** Attempts that were handed to the transport. */
--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -15,6 +15,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Dispatcher.class);
 
+    /** Ids have at most some hundred characters, so that all take less than 1 MB of heap. */
+    private static final int MAX_REMEMBERED_RUNS = 4096;
+
     private final RequestRouter router;
     private final SendGuard guard;
     private final Executor executor;
@@ -23,6 +26,7 @@
     private final Counters counters;
     private final AttemptRunner attempts;
     private final Map<String, InFlightRequest> inFlight = new ConcurrentHashMap<>();
+    private final RecentRuns recentRuns = new RecentRuns(MAX_REMEMBERED_RUNS);
 
     /**
      * Limits of a dispatcher.
@@ -58,14 +62,20 @@
      * Accepts a request, which then gets exactly one final answer. The request is rejected at once when too many
      * requests are in flight or no thread can be started for it.
      *
-     * @return false when a request with this id is already in flight; the client then gets no answer from this
-     *     dispatcher
+     * @return false when a request with this id is already in flight, or has ended, may have run and must not run
+     *     again; the client then gets no answer from this dispatcher
      */
     public boolean submit(Request request, ResponseSink client) {
         InFlightRequest accepted = new InFlightRequest(request, client, clock.now());
         if (inFlight.putIfAbsent(request.id(), accepted) != null) {
             return false;
         }
+        if (recentRuns.contains(request.id())) {
+            inFlight.remove(request.id());
+            counters.increment(Counter.REQUESTS_REPEATED);
+            LOG.info("event=request_repeated request={} class={}", request.id(), request.serviceClass());
+            return false;
+        }
         counters.increment(Counter.REQUESTS);
         try {
             if (inFlight.size() > settings.maxRequests()) {
@@ -123,13 +133,22 @@
             // Catches everything: the client must get its final answer even if the gateway itself fails.
             failInternally(request, e);
         } finally {
-            inFlight.remove(request.request().id());
+            requestEnded(request);
             if (interrupted) {
                 Thread.currentThread().interrupt();
             }
         }
     }
 
+    private void requestEnded(InFlightRequest request) {
+        try {
+            // Before the id is free: the same request may be waiting to come again.
+            recentRuns.requestEnded(request.request(), guard.rerunRule(request.request()), request.history());
+        } finally {
+            inFlight.remove(request.request().id());
+        }
+    }
+
     private void failInternally(InFlightRequest request, Throwable fault) {
         String id = request.request().id();
         LOG.error("event=request_error request={}", id, fault);
--- a/src/main/java/dunlinladder/core/RerunRule.java
+++ b/src/main/java/dunlinladder/core/RerunRule.java
@@ -46,6 +46,11 @@
         return scope == Scope.ALL;
     }
 
+    /** Whether a request may run again at any engine and at any time. */
+    boolean isUnrestricted() {
+        return scope == Scope.ALL && windowSeconds == Double.POSITIVE_INFINITY;
+    }
+
     /** Whether a request with these attempts may be sent to an engine at clock time {@code now}, in seconds. */
     boolean allowsRerun(AttemptHistory history, Engine next, double now) {
         return now <= latestRerun(history)
--- a/src/main/java/dunlinladder/core/SendGuard.java
+++ b/src/main/java/dunlinladder/core/SendGuard.java
@@ -43,6 +43,11 @@
         return engines.find(engineId);
     }
 
+    /** Returns the rule for reruns of a request. */
+    RerunRule rerunRule(Request request) {
+        return rules.rerunRule(request.serviceClass());
+    }
+
     /** Whether engines of this engine's machine kind only prefill. */
     boolean isPrefillOnly(Engine engine) {
         return rules.isPrefillOnly(engine.kind());
@@ -55,7 +60,7 @@
      * @param cancelled whether no further attempt may be sent: the client has left, or the request has expired
      */
     Optional<SendRefusal> refusalToBegin(Attempt attempt, AttemptHistory history, boolean cancelled) {
-        RerunRule rule = rules.rerunRule(attempt.request().serviceClass());
+        RerunRule rule = rerunRule(attempt.request());
         if (attempt.mayHaveEffect() && !rule.allowsRerun(history, attempt.engine(), clock.now())) {
             return refuse(SendRefusal.RERUN_FORBIDDEN);
         }
@@ -92,7 +97,7 @@
      * @param mayHaveEffect whether the attempt can have an effect
      */
     double latestSend(Request request, AttemptHistory history, boolean mayHaveEffect) {
-        return mayHaveEffect ? rules.rerunRule(request.serviceClass()).latestRerun(history) : Double.POSITIVE_INFINITY;
+        return mayHaveEffect ? rerunRule(request).latestRerun(history) : Double.POSITIVE_INFINITY;
     }
 
     /**
@@ -100,7 +105,7 @@
      * forbidden when the facts of the attempts do not guarantee that; such a refusal is counted.
      */
     boolean allowsRejection(Request request, AttemptHistory history) {
-        if (history.mayHaveRun() && !rules.rerunRule(request.serviceClass()).allowsClientRetry()) {
+        if (history.mayHaveRun() && !rerunRule(request).allowsClientRetry()) {
             counters.increment(Counter.REJECTIONS_REFUSED);
             return false;
         }
--- a/src/main/java/dunlinladder/transport/http/ServerExchange.java
+++ b/src/main/java/dunlinladder/transport/http/ServerExchange.java
@@ -160,10 +160,10 @@
 
     /**
      * Submits a request to the dispatcher. The dispatcher is notified if the client disconnects before the response is
-     * complete. Returns false if the request's id is in use. A request whose client has already left is dropped, and
-     * the result is true: it may have waited with its connection to be accepted. While connections are being closed for
-     * a shutdown, the request is rejected instead and the result is true: if the engines hang, the process could be
-     * killed before the request is answered.
+     * complete. Returns false if the request's id is in use, or was used and must not run again. A request whose client
+     * has already left is dropped, and the result is true: it may have waited with its connection to be accepted. While
+     * connections are being closed for a shutdown, the request is rejected instead and the result is true: if the
+     * engines hang, the process could be killed before the request is answered.
      */
     protected final boolean submit(Request coreRequest, ResponseSink client) {
         if (closing.getAsBoolean()) {
--- a/src/main/java/dunlinladder/transport/platform/PlatformExchange.java
+++ b/src/main/java/dunlinladder/transport/platform/PlatformExchange.java
@@ -93,7 +93,7 @@
                 StreamTerminator.DONE_MARKER);
         try {
             if (!submit(context.reader.read(name -> header(head, name), engineRequest, earliestSentAt), this)) {
-                throw new InvalidInputException(PlatformRequestReader.REQUEST_ID + " is in use");
+                throw new InvalidInputException(PlatformRequestReader.REQUEST_ID + " is in use or was used");
             }
         } catch (InvalidInputException e) {
             answer(HttpStatus.SC_BAD_REQUEST, TEXT, e.getMessage() + "\n", Map.of());
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -183,11 +183,14 @@
         Dispatcher.Settings settings = new Dispatcher.Settings(10, 0.04);
         dispatcher = new Dispatcher(
                 router, new SendGuard(engines, RULES, instruments, 0), transport, Runnable::run, instruments, settings);
-        Request request = RequestBuilder.request("id")
+        assertTrue(dispatcher.submit(request(serviceClass), client));
+    }
+
+    private Request request(int serviceClass) {
+        return RequestBuilder.request("id")
                 .serviceClass(serviceClass)
                 .deadline(clock.now() + 5)
                 .build();
-        assertTrue(dispatcher.submit(request, client));
     }
 
     /** The error occurs when the system refuses a further thread, or on the thread that drives the request. */
@@ -352,6 +355,29 @@
         assertEquals(0, dispatcher.activeRequests());
     }
 
+    /** Guards against a second run of a request that comes once more after its client has left (report 906079, d). */
+    @ParameterizedTest
+    @CsvSource({
+        NON_IDEMPOTENT + ", CANCELLED, false",
+        NON_IDEMPOTENT + ", OK, false",
+        NON_IDEMPOTENT + ", FULL, true",
+        NON_IDEMPOTENT + ", CONNECT_FAILED, true",
+        KEYED_BY_CELL + ", CANCELLED, false",
+        KEYED_EVERYWHERE + ", CANCELLED, false",
+        IDEMPOTENT + ", CANCELLED, true"
+    })
+    void acceptsAnIdAgainOnlyIfTheRequestDidNotRunOrMayRunAgain(int serviceClass, Ending ending, boolean accepted) {
+        updateEngines(Engine.State.ACTIVE, "m1");
+        decisions.addAll(List.of(
+                new RoutingDecision.Forward("m1", 0), new RoutingDecision.Discard(), new RoutingDecision.Discard()));
+        endings.add(ending);
+        submit(serviceClass);
+        assertEquals(accepted, dispatcher.submit(request(serviceClass), client));
+        assertEquals(List.of("m1"), sent);
+        assertEquals(0, dispatcher.activeRequests());
+        assertEquals(accepted ? 0 : 1, counters.count(Counter.REQUESTS_REPEATED));
+    }
+
     @Test
     void failsWithoutRetryWhenAnEngineRejectsTheRequest() {
         updateEngines(Engine.State.ACTIVE, "m1");
--- a/src/test/java/dunlinladder/it/RaceConditionTest.java
+++ b/src/test/java/dunlinladder/it/RaceConditionTest.java
@@ -52,6 +52,42 @@
         assertEquals(0, gateway.prefillEngine.requestCount("POST", "pipelined"));
     }
 
+    /** Guards against a second run of a request that comes once more after its client has left (report 906079, d). */
+    @Test
+    void doesNotRunAnUnsafeRequestThatComesAgainAfterItsClientLeft() throws Exception {
+        leaveDuringTheAnswer("listing");
+        for (int i = 0; i < 5; i++) {
+            assertEquals(400, statusOfRepeat("listing"));
+        }
+        Await.until(() -> gateway.hasLogged("event=request_repeated request=" + requestId));
+        assertEquals(0, gateway.decodeRequestCount("POST", "plain"));
+    }
+
+    @Test
+    void runsASafeRequestThatComesAgainAfterItsClientLeft() throws Exception {
+        leaveDuringTheAnswer("lookup");
+        int status = 400;
+        while (status == 400) {
+            // The id is in use until the thread of the first request has ended.
+            status = statusOfRepeat("lookup");
+        }
+        assertEquals(200, status);
+    }
+
+    private void leaveDuringTheAnswer(String serviceClass) throws Exception {
+        try (TestClient client = gateway.post(requestId, serviceClass, "5.0", "pause")) {
+            assertTrue(client.readHead());
+        }
+        Await.until(() -> gateway.abandonedAttemptCount() == 1);
+    }
+
+    private int statusOfRepeat(String serviceClass) throws IOException {
+        try (TestClient client = gateway.post(requestId, serviceClass, "5.0", "plain")) {
+            assertTrue(client.readHead());
+            return client.status;
+        }
+    }
+
     /**
      * The second half of a request arrives after SIGTERM, when the gateway has closed its idle connections. The request
      * is rejected, and a retry is harmless, as no engine has received it. An accepted request might still be open at
