Draw incomplete, stopped and slow streams in the soak, and ids that come again

Now 6 of 100 answers end early with a last chunk, stop in the middle, or carry an event in slow pieces, and half of the listings whose client left come once more, 50 ms later, with the same id. The judge looks at the client's socket: a 200 that ends with the last chunk has to end with [DONE], and a client may not wait for more than 5 s behind the last event. Two mutants for these rules (not run yet).

--- a/src/test/java/dunlinladder/it/RawHttp.java
+++ b/src/test/java/dunlinladder/it/RawHttp.java
@@ -45,16 +45,28 @@
     /** Reads a chunked body. The result ends with "(cut)" when the connection ended before the last chunk. */
     static String readChunkedBody(InputStream in) throws IOException {
         StringBuilder body = new StringBuilder();
-        for (String size = readLine(in); size != null; size = readLine(in)) {
-            body.append(new String(in.readNBytes(Integer.parseInt(size, HEX_RADIX)), StandardCharsets.UTF_8));
-            readLine(in);
-            if (size.equals("0")) {
+        for (String chunk = readChunk(in); chunk != null; chunk = readChunk(in)) {
+            if (chunk.isEmpty()) {
                 return body.toString();
             }
+            body.append(chunk);
         }
         return body + "(cut)";
     }
 
+    /**
+     * Reads one chunk of a chunked body; returns an empty text for the last one, null when the connection has ended.
+     */
+    static String readChunk(InputStream in) throws IOException {
+        String size = readLine(in);
+        if (size == null) {
+            return null;
+        }
+        String text = new String(in.readNBytes(Integer.parseInt(size, HEX_RADIX)), StandardCharsets.UTF_8);
+        readLine(in);
+        return text;
+    }
+
     /** Writes the text as UTF-8 and flushes. */
     static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/dunlinladder/it/SilenceTable.java
+++ b/src/test/java/dunlinladder/it/SilenceTable.java
@@ -126,10 +126,11 @@
                     RunningGateway.platformHeaders(id, serviceClass, SoakPlan.formatSeconds(timeout)),
                     "plain");
             int status = client.readHead() ? client.status : SoakRecord.NO_ANSWER;
-            record.answers.add(new SoakRecord.Answer(sent, status, System.nanoTime()));
+            record.answers.add(new SoakRecord.Answer(sent, status, System.nanoTime(), SoakRecord.Body.NONE));
             client.readBody();
         } catch (IOException e) {
-            record.answers.add(new SoakRecord.Answer(sent, SoakRecord.NO_ANSWER, System.nanoTime()));
+            record.answers.add(
+                    new SoakRecord.Answer(sent, SoakRecord.NO_ANSWER, System.nanoTime(), SoakRecord.Body.NONE));
         }
     }
 
--- a/src/test/java/dunlinladder/it/SoakClient.java
+++ b/src/test/java/dunlinladder/it/SoakClient.java
@@ -20,6 +20,14 @@
     private static final double NEW_CONNECTION_SHARE = 0.1;
 
     private static final double MAX_REQUEST_GAP_SECONDS = 0.2;
+    /** Time that a client waits for the next part of a stream that has begun; longer than the specification allows. */
+    private static final double STREAM_WAIT_SECONDS = 6;
+    /** Share of the requests whose client has left that come once more, with the same id. */
+    private static final double REPEAT_SHARE = 0.5;
+
+    private static final double REPEAT_DELAY_SECONDS = 0.05;
+    private static final String CLOSING_EVENT = "data: [DONE]\n\n";
+
     /** Time that a client waits after the deadline; an answer that has not come by then counts as lost. */
     private static final double WAIT_AFTER_DEADLINE_SECONDS = 1;
 
@@ -100,6 +108,7 @@
 
     private void sendAndRecord(SoakRecord.Sent sent, boolean reused) {
         record.sent.put(sent.id(), sent);
+        SoakProcess process = fleet.gateways.get(gateway).process;
         SoakRecord.Answer answer = exchange(sent);
         // Platform protocol specification: if the gateway closes the connection without having read a request that is
         // on its way, the client sends the request once more on a new connection.
@@ -109,6 +118,7 @@
                 && !record.wasForwardedBefore(sent.id(), answer.endedAt());
         if (!unreadByGateway || !reconnect()) {
             record.answers.add(answer);
+            repeatAfterLeaving(sent, process);
             return;
         }
         SoakRecord.Sent resent = new SoakRecord.Sent(
@@ -117,6 +127,33 @@
         record.answers.add(exchange(resent));
     }
 
+    /**
+     * Sends some listings once more to the same process, shortly after their client has left. The answer is not
+     * checked: a client that has left is owed none. Its attempts count like those of any other request.
+     */
+    private void repeatAfterLeaving(SoakRecord.Sent sent, SoakProcess process) {
+        boolean left = sent.leavesAt() != Long.MAX_VALUE && connection == null;
+        double draw = new Random(sent.id().hashCode()).nextDouble();
+        if (!left || !sent.listing() || process == null || draw > REPEAT_SHARE) {
+            return;
+        }
+        SoakFaults.sleep(REPEAT_DELAY_SECONDS);
+        if (fleet.gateways.get(sent.gateway()).process != process) {
+            return;
+        }
+        try {
+            connection = new TestClient(process.port);
+            long now = System.nanoTime();
+            SoakRecord.Sent repeated = new SoakRecord.Sent(
+                    sent.id(), sent.gateway(), true, now, sent.timeoutNanos(), now + sent.timeoutNanos());
+            record.sent.put(sent.id(), repeated);
+            exchange(repeated);
+            disconnect();
+        } catch (UncheckedIOException e) {
+            // The gateway accepts no connection.
+        }
+    }
+
     private boolean reconnect() {
         disconnect();
         while (!connect()) {
@@ -135,6 +172,7 @@
     private SoakRecord.Answer exchange(SoakRecord.Sent sent) {
         int status = SoakRecord.NO_ANSWER;
         long answeredAt = 0;
+        SoakRecord.Body body = SoakRecord.Body.NONE;
         try {
             boolean leaves = sent.leavesAt() != Long.MAX_VALUE;
             double timeout = sent.timeoutNanos() / NANOS_PER_SECOND;
@@ -151,16 +189,46 @@
             if (connection.readHead()) {
                 status = connection.status;
                 answeredAt = System.nanoTime();
-                boolean whole = !connection.readBody().endsWith("(cut)");
+                if (!leaves) {
+                    connection.socket.setSoTimeout((int) (STREAM_WAIT_SECONDS * MILLIS_PER_SECOND));
+                }
+                body = readBody();
                 boolean closes = "close".equalsIgnoreCase(connection.headers.get("Connection"));
+                boolean whole = body.end() != SoakRecord.BodyEnd.CUT;
                 if (whole && !closes && random.nextDouble() > NEW_CONNECTION_SHARE) {
-                    return new SoakRecord.Answer(sent, status, answeredAt);
+                    return new SoakRecord.Answer(sent, status, answeredAt, body);
                 }
             }
         } catch (IOException e) {
             // A missing answer is recorded below.
         }
         disconnect();
-        return new SoakRecord.Answer(sent, status, status == SoakRecord.NO_ANSWER ? System.nanoTime() : answeredAt);
+        long endedAt = status == SoakRecord.NO_ANSWER ? System.nanoTime() : answeredAt;
+        return new SoakRecord.Answer(sent, status, endedAt, body);
+    }
+
+    private SoakRecord.Body readBody() throws IOException {
+        if (connection.headers.containsKey("content-length")) {
+            connection.readBody();
+            return SoakRecord.Body.NONE;
+        }
+        StringBuilder text = new StringBuilder();
+        long lastReceivedAt = System.nanoTime();
+        String chunk = RawHttp.readChunk(connection.socket.getInputStream());
+        while (chunk != null && !chunk.isEmpty()) {
+            lastReceivedAt = System.nanoTime();
+            text.append(chunk);
+            chunk = RawHttp.readChunk(connection.socket.getInputStream());
+        }
+        return new SoakRecord.Body(endOf(text, chunk != null), lastReceivedAt, System.nanoTime());
+    }
+
+    private static SoakRecord.BodyEnd endOf(StringBuilder text, boolean lastChunkReceived) {
+        if (!lastChunkReceived) {
+            return SoakRecord.BodyEnd.CUT;
+        }
+        boolean closed = text.length() >= CLOSING_EVENT.length()
+                && text.substring(text.length() - CLOSING_EVENT.length()).equals(CLOSING_EVENT);
+        return closed ? SoakRecord.BodyEnd.WHOLE : SoakRecord.BodyEnd.TRUNCATED;
     }
 }
--- a/src/test/java/dunlinladder/it/SoakEngine.java
+++ b/src/test/java/dunlinladder/it/SoakEngine.java
@@ -23,6 +23,12 @@
     private static final int ACCEPT_BACKLOG = 2;
     private static final double MAX_PREFILL_SECONDS = 0.06;
     private static final int EVENTS_PER_ANSWER = 6;
+    /** Share of the answers whose stream has a fault. */
+    private static final double STREAM_FAULT_CHANCE = 0.06;
+
+    private static final int SLOW_EVENT_CHARACTERS = 600;
+    private static final int SLOW_PIECE_CHARACTERS = 100;
+    private static final double SLOW_PIECE_SECONDS = 0.25;
     private static final double EVENT_INTERVAL_SECONDS = 0.03;
     private static final double RESET_BEFORE_EFFECT_CHANCE = 0.5;
     private static final double SLOW_FIRST_TOKEN_SECONDS = 1.5;
@@ -45,9 +51,21 @@
         FULL
     }
 
+    /** How an engine writes the stream of one answer. */
+    private enum StreamFault {
+        NONE,
+        /** Sends the last chunk after some events, without the closing event. */
+        ENDS_EARLY,
+        /** Sends nothing more after some events, and keeps the connection open. */
+        STOPS,
+        /** Writes a long event in small pieces. */
+        SLOW_EVENT
+    }
+
     private final boolean prefills;
     private final String name;
     private final Random random;
+    private final Random streamRandom;
     private final SoakCaches.Client caches;
     private volatile Mode mode = Mode.SOUND;
 
@@ -55,6 +73,7 @@
         this.prefills = prefills;
         this.name = name;
         this.random = new Random(seed);
+        this.streamRandom = new Random(~seed);
         this.caches = new SoakCaches.Client(cachesPort);
     }
 
@@ -198,15 +217,51 @@
             return false;
         }
         RawHttp.write(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-        for (int i = 0; i < EVENTS_PER_ANSWER; i++) {
+        return writeStream(id, drawStreamFault(), socket);
+    }
+
+    private StreamFault drawStreamFault() {
+        synchronized (streamRandom) {
+            StreamFault[] faults = StreamFault.values();
+            return streamRandom.nextDouble() < STREAM_FAULT_CHANCE
+                    ? faults[1 + streamRandom.nextInt(faults.length - 1)]
+                    : StreamFault.NONE;
+        }
+    }
+
+    private boolean writeStream(String id, StreamFault fault, Socket socket) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        boolean endsEarly = fault == StreamFault.ENDS_EARLY || fault == StreamFault.STOPS;
+        int events = endsEarly ? 1 + Math.floorMod(id.hashCode(), EVENTS_PER_ANSWER) : EVENTS_PER_ANSWER;
+        for (int i = 0; i < events; i++) {
             RawHttp.writeChunk(out, StubAnswer.delta("x", i + 1 < EVENTS_PER_ANSWER ? "null" : "\"stop\""));
             SoakFaults.sleep(EVENT_INTERVAL_SECONDS);
         }
+        if (fault == StreamFault.STOPS) {
+            printEvent(SoakEvent.Kind.STREAM_STOPPED, id, 0);
+            awaitClose(socket);
+            return false;
+        }
+        if (fault == StreamFault.ENDS_EARLY) {
+            RawHttp.writeLastChunk(out);
+            awaitClose(socket);
+            return false;
+        }
+        if (fault == StreamFault.SLOW_EVENT) {
+            writeSlowly(StubAnswer.delta("x".repeat(SLOW_EVENT_CHARACTERS), "null"), out);
+        }
         RawHttp.writeChunk(out, "data: [DONE]\n\n");
         RawHttp.writeLastChunk(out);
         return true;
     }
 
+    private static void writeSlowly(String event, OutputStream out) throws IOException {
+        for (int start = 0; start < event.length(); start += SLOW_PIECE_CHARACTERS) {
+            SoakFaults.sleep(SLOW_PIECE_SECONDS);
+            RawHttp.writeChunk(out, event.substring(start, Math.min(start + SLOW_PIECE_CHARACTERS, event.length())));
+        }
+    }
+
     /** Whether the gateway has closed the connection. The gateway sends no further bytes before the answer. */
     private static boolean isClosed(Socket socket) throws IOException {
         try {
--- a/src/test/java/dunlinladder/it/SoakEvent.java
+++ b/src/test/java/dunlinladder/it/SoakEvent.java
@@ -36,6 +36,8 @@
         DECODE_DROPPED,
         /** A decode has found no KV cache to fetch. */
         DECODE_MISSING,
+        /** An engine has written its last event of a stream that it does not end. */
+        STREAM_STOPPED,
         /** A release has arrived and freed a KV cache. */
         RELEASED
     }
--- a/src/test/java/dunlinladder/it/SoakMutants.java
+++ b/src/test/java/dunlinladder/it/SoakMutants.java
@@ -44,6 +44,12 @@
                         "core/SendGuard.java",
                         "return engines.accepts(attempt.engine()) ?",
                         "return engines.find(attempt.engine().id()).isPresent() ?")),
+        CLOSING_EVENT_NOT_AWAITED(new Change(
+                "transport/engine/EngineStreamRelay.java",
+                "if (!filter.isTerminated()) {",
+                "if (!filter.isTerminated() && pendingBytes < 0) {")),
+        PAST_RUNS_FORGOTTEN(new Change(
+                "core/RecentRuns.java", "!rule.isUnrestricted() && history.mayHaveRun()", "history.size() < 0")),
         UNSAFE_REQUEST_REPEATED(
                 new Change("routing/RetryPolicy.java", "run -> request.has(Idempotence.UNSAFE)", "run -> false"),
                 new Change(
--- a/src/test/java/dunlinladder/it/SoakOracle.java
+++ b/src/test/java/dunlinladder/it/SoakOracle.java
@@ -33,6 +33,11 @@
     private static final double MAX_START_AFTER_CLOSE_SECONDS = 0.1;
     /** Acceptance test specification: the timeout of an attempt is at most the client's remaining time plus 0.15 s. */
     private static final double TIMEOUT_SLACK_SECONDS = 0.15;
+    /**
+     * Platform protocol specification: a client that waits for 5 s after the last event of a running engine has lost
+     * its request.
+     */
+    private static final double MAX_WAIT_AFTER_LAST_EVENT_SECONDS = 5;
     /** Drain grace period of the settings. */
     private static final double DRAIN_GRACE_SECONDS = 1.0;
     /** Platform protocol specification: each time limit is 50 ms longer over sockets. */
@@ -94,8 +99,9 @@
         return nanos / NANOS_PER_SECOND;
     }
 
-    /** Checks that a request was answered in time. */
+    /** Checks that a request was answered in time, and that its answer ended as whole only if it was. */
     private void checkAnswer(SoakRecord.Answer answer) {
+        checkBody(answer);
         SoakRecord.Sent sent = answer.request();
         // Acceptance test specification: a client that closes its connection has gone. It needs no answer.
         if (answer.endedAt() >= sent.leavesAt() || isExcusedByKill(answer)) {
@@ -112,6 +118,34 @@
         }
     }
 
+    private void checkBody(SoakRecord.Answer answer) {
+        String id = answer.request().id();
+        SoakRecord.Body body = answer.body();
+        if (body.end() == SoakRecord.BodyEnd.TRUNCATED) {
+            addViolation("truncated", id, "its stream ended as whole without its closing event");
+        }
+        record.events.stream()
+                .filter(event -> event.kind() == SoakEvent.Kind.STREAM_STOPPED
+                        && event.requestId().equals(id)
+                        && body.end() != SoakRecord.BodyEnd.NONE)
+                .findFirst()
+                .ifPresent(event -> checkWait(answer, event));
+    }
+
+    /**
+     * Checks how long the client of a stream that its engine does not end has waited. Events that a silent link holds
+     * back reach the gateway and the client late, so the wait counts from the last part that the client received.
+     */
+    private void checkWait(SoakRecord.Answer answer, SoakEvent stopped) {
+        SoakRecord.Body body = answer.body();
+        long from = Math.max(stopped.nanos(), body.lastReceivedAt());
+        double pause = record.wasPaused(answer.request().gateway(), from, body.endedAt()) ? MAX_PAUSE_SECONDS : 0;
+        double waitedSeconds = seconds(body.endedAt() - from);
+        if (waitedSeconds > MAX_WAIT_AFTER_LAST_EVENT_SECONDS + SOCKET_SLACK_SECONDS + pause) {
+            addViolation("waiting", answer.request().id(), "waited " + waitedSeconds + " s after the last event");
+        }
+    }
+
     private boolean isExcusedByKill(SoakRecord.Answer answer) {
         SoakRecord.Sent sent = answer.request();
         SoakRecord.GatewayEnd kill = record.findKill(sent.gateway(), sent.sentAt(), answer.endedAt());
--- a/src/test/java/dunlinladder/it/SoakRecord.java
+++ b/src/test/java/dunlinladder/it/SoakRecord.java
@@ -16,8 +16,32 @@
      *
      * @param status {@link #NO_ANSWER} if the connection ended without an answer
      * @param endedAt when the head of the answer arrived or the connection ended
+     * @param body the end of the body
      */
-    record Answer(Sent request, int status, long endedAt) {}
+    record Answer(Sent request, int status, long endedAt, Body body) {}
+
+    /**
+     * The end of an answer's body.
+     *
+     * @param lastReceivedAt when the client received the last part of the body
+     * @param endedAt when the body or the connection ended
+     */
+    record Body(BodyEnd end, long lastReceivedAt, long endedAt) {
+
+        static final Body NONE = new Body(BodyEnd.NONE, 0, 0);
+    }
+
+    /** The ways in which the body of an answer ends for a client. */
+    enum BodyEnd {
+        /** There was no stream, or the client left during it. */
+        NONE,
+        /** The stream ended with its closing event and the last chunk. */
+        WHOLE,
+        /** The stream ended with the last chunk, and its closing event was missing. */
+        TRUNCATED,
+        /** The connection ended before the last chunk. */
+        CUT
+    }
 
     /**
      * One request as its client sent it.
