Give a request's thread back when its stream begins

Change: the driving thread waits until the stream begins. Answers, order of events and outcomes are unchanged.

--- a/src/main/java/dunlinladder/core/AttemptRunner.java
+++ b/src/main/java/dunlinladder/core/AttemptRunner.java
@@ -7,6 +7,8 @@
 
 /**
  * Makes the attempts of a request, one at a time: checks that an attempt may be sent, sends it, and reports its end.
+ * The thread that drives the request waits until the stream begins; the end of a stream is handled on a thread of the
+ * transport.
  */
 final class AttemptRunner {
 
@@ -23,8 +25,22 @@
     private final Counters counters;
     private final CacheHoldLedger cacheHolds;
 
-    /** Clock times, in seconds, at which an attempt was sent and ended. */
-    private record Times(double sentAt, double endedAt) {}
+    /** What has become of a request. */
+    enum Result {
+        /** It needs a further decision. */
+        UNDECIDED,
+        /** The client's stream has begun; what follows its end runs without the driving thread. */
+        STREAMING,
+        /** It is finished. */
+        FINISHED
+    }
+
+    /** Receives a request whose stream has ended. */
+    interface StreamEndListener {
+
+        /** Reports the end; {@code conclusion} reports it to the router and gives the client its final answer. */
+        void streamEnded(InFlightRequest request, Runnable conclusion);
+    }
 
     /**
      * The progress of an attempt. The transport's threads write it before the attempt ends; the driving thread reads it
@@ -32,11 +48,15 @@
      */
     private final class Progress implements AttemptListener {
         private final Attempt attempt;
+        /** Clock time of the send, in seconds. */
+        private final double sentAt;
+
         private volatile AttemptReach reach = AttemptReach.UNWRITTEN;
         private volatile double firstTokenAt = Double.NaN;
 
-        Progress(Attempt attempt) {
+        Progress(Attempt attempt, double sentAt) {
             this.attempt = attempt;
+            this.sentAt = sentAt;
         }
 
         @Override
@@ -114,8 +134,9 @@
         this.cacheHolds = instruments.cacheHolds();
     }
 
-    /** Makes one attempt; returns whether the request is finished. */
-    boolean run(InFlightRequest request, RoutingDecision.Forward forward) throws InterruptedException {
+    /** Makes one attempt; {@code listener} is notified of the end of its stream, if one begins. */
+    Result run(InFlightRequest request, RoutingDecision.Forward forward, StreamEndListener listener)
+            throws InterruptedException {
         Attempt attempt = prepare(request, forward);
         Optional<SendRefusal> refusal = guard.refusalToBegin(attempt, request.history(), isCancelled(request));
         double sentAt = clock.now();
@@ -125,19 +146,29 @@
             return endNotSent(request, attempt);
         }
         counters.increment(Counter.ATTEMPTS);
-        Progress progress = new Progress(attempt);
+        Progress progress = new Progress(attempt, sentAt);
         Optional<EngineTransport.Call> call = send(request, attempt, progress);
         if (call.isEmpty()) {
             return endNotSent(request, attempt);
         }
-        Outcome outcome = call.get().await();
+        Optional<Outcome> outcome = call.get().awaitEndOrStream();
+        if (outcome.isPresent()) {
+            return end(request, progress, outcome.get(), false) ? Result.FINISHED : Result.UNDECIDED;
+        }
+        call.get().onEnd(result -> listener.streamEnded(request, () -> end(request, progress, result, true)));
+        return Result.STREAMING;
+    }
+
+    /** Records and reports the end of an attempt; returns whether the request is finished. */
+    private boolean end(InFlightRequest request, Progress progress, Outcome outcome, boolean streaming) {
+        Attempt attempt = progress.attempt;
         double endedAt = clock.now();
         releaseOverduePrefillCache(attempt, endedAt);
         request.history().recordEnd(outcome, progress.reach(), endedAt);
         cacheHolds.attemptEnded(attempt, outcome, progress.reach(), endedAt);
         count(outcome);
-        logEnded(request, attempt, outcome, new Times(sentAt, endedAt), progress);
-        return conclude(request, attempt, outcome, progress);
+        logEnded(request, outcome, endedAt, progress);
+        return conclude(request, outcome, progress, streaming);
     }
 
     /** Whether no further attempt may be sent; also asks the client's connection, whose end may not be reported yet. */
@@ -191,28 +222,26 @@
         }
     }
 
-    /**
-     * Ends an attempt of which nothing was sent; returns whether the request is finished because the client has left.
-     */
-    private boolean endNotSent(InFlightRequest request, Attempt attempt) {
+    /** Ends an attempt of which nothing was sent; the request is finished if the client has left. */
+    private Result endNotSent(InFlightRequest request, Attempt attempt) {
         boolean disconnected = request.isDisconnected();
         Outcome outcome = Outcome.of(Outcome.Ending.CONNECT_FAILED);
         count(outcome);
         releaseOverduePrefillCache(attempt, clock.now());
         request.history().recordEnd(outcome, AttemptReach.UNWRITTEN, clock.now());
         router.attemptEnded(attempt, outcome, AttemptReach.UNWRITTEN, disconnected);
-        return disconnected;
+        return disconnected ? Result.FINISHED : Result.UNDECIDED;
     }
 
     /**
      * Reports the end of an attempt and gives the client the final answer that follows from it, if any; returns whether
      * the request is finished.
      */
-    private boolean conclude(InFlightRequest request, Attempt attempt, Outcome outcome, Progress progress) {
+    private boolean conclude(InFlightRequest request, Outcome outcome, Progress progress, boolean streaming) {
         boolean complete = outcome.ending() == Outcome.Ending.OK;
         boolean rejected = outcome.ending() == Outcome.Ending.REJECTED;
-        boolean last = complete || progress.hasFirstToken() || rejected || request.isDisconnected();
-        router.attemptEnded(attempt, outcome, progress.reach(), last);
+        boolean last = complete || streaming || progress.hasFirstToken() || rejected || request.isDisconnected();
+        router.attemptEnded(progress.attempt, outcome, progress.reach(), last);
         if (last && !request.isDisconnected()) {
             if (rejected) {
                 request.client().fail(ResponseSink.Failure.REQUEST);
@@ -261,11 +290,11 @@
     }
 
     /** Logs the data that deploy/fleet-counts.py reads to count attempts across a fleet. */
-    private static void logEnded(
-            InFlightRequest inFlight, Attempt attempt, Outcome outcome, Times times, Progress progress) {
+    private static void logEnded(InFlightRequest inFlight, Outcome outcome, double endedAt, Progress progress) {
         if (!LOG.isDebugEnabled() && !isUnusual(outcome)) {
             return;
         }
+        Attempt attempt = progress.attempt;
         Request request = attempt.request();
         Engine engine = attempt.engine();
         LOG.atLevel(isUnusual(outcome) ? Level.INFO : Level.DEBUG)
@@ -276,11 +305,11 @@
                         attempt.number(),
                         engine.id(),
                         !attempt.mayHaveEffect(),
-                        engine.startedAt() > 0 ? (long) (times.endedAt() - engine.startedAt()) : "-",
+                        engine.startedAt() > 0 ? (long) (endedAt - engine.startedAt()) : "-",
                         progress.reach().logName(),
                         outcome.ending(),
-                        Seconds.text(times.endedAt() - times.sentAt()),
-                        Seconds.text(times.sentAt() - inFlight.acceptedAt()),
+                        Seconds.text(endedAt - progress.sentAt),
+                        Seconds.text(progress.sentAt - inFlight.acceptedAt()),
                         progress.firstTokenTextSince(inFlight.acceptedAt()),
                         (long) request.promptTokens(),
                         (long) request.prefixTokens(),
--- a/src/main/java/dunlinladder/core/Dispatcher.java
+++ b/src/main/java/dunlinladder/core/Dispatcher.java
@@ -9,7 +9,8 @@
 
 /**
  * Accepts requests and drives each, on a separate thread, to its single final answer. It asks the {@link RequestRouter}
- * for decisions and carries them out until the request has its final answer or its client has left.
+ * for decisions and carries them out until the request has its final answer or its client has left. A request keeps its
+ * thread until its stream begins.
  */
 public final class Dispatcher {
 
@@ -31,12 +32,12 @@
     /**
      * Limits of a dispatcher.
      *
-     * @param maxRequests maximum number of requests in flight
+     * @param maxRequests maximum number of requests in flight, with those whose streams have begun
      * @param answerMarginSeconds time before the client's deadline at which an attempt without a first token ends
      */
     public record Settings(int maxRequests, double answerMarginSeconds) {}
 
-    /** Creates a dispatcher that drives each request in one task of {@code executor}. */
+    /** Creates a dispatcher that drives each request, up to the beginning of its stream, in one task. */
     public Dispatcher(
             RequestRouter router,
             SendGuard guard,
@@ -124,8 +125,9 @@
 
     private void drive(InFlightRequest request) {
         boolean interrupted = false;
+        boolean streaming = false;
         try {
-            executeDecisions(request);
+            streaming = executeDecisions(request) == AttemptRunner.Result.STREAMING;
         } catch (InterruptedException e) {
             interrupted = true;
             failInternally(request, e);
@@ -133,13 +135,27 @@
             // Catches everything: the client must get its final answer even if the gateway itself fails.
             failInternally(request, e);
         } finally {
-            requestEnded(request);
+            if (!streaming) {
+                requestEnded(request);
+            }
             if (interrupted) {
                 Thread.currentThread().interrupt();
             }
         }
     }
 
+    /** Concludes a request whose stream has ended; called by a thread of the transport. */
+    private void streamEnded(InFlightRequest request, Runnable conclusion) {
+        try {
+            conclusion.run();
+        } catch (RuntimeException | Error e) {
+            // Catches everything, as in drive().
+            failInternally(request, e);
+        } finally {
+            requestEnded(request);
+        }
+    }
+
     private void requestEnded(InFlightRequest request) {
         try {
             // Before the id is free: the same request may be waiting to come again.
@@ -157,18 +173,19 @@
         request.client().fail(ResponseSink.Failure.INTERNAL);
     }
 
-    private void executeDecisions(InFlightRequest request) throws InterruptedException {
-        boolean finished = false;
-        while (!finished) {
-            finished = executeDecision(request, router.nextDecision(request.request()));
+    private AttemptRunner.Result executeDecisions(InFlightRequest request) throws InterruptedException {
+        AttemptRunner.Result result = AttemptRunner.Result.UNDECIDED;
+        while (result == AttemptRunner.Result.UNDECIDED) {
+            RoutingDecision decision = router.nextDecision(request.request());
+            result = decision instanceof RoutingDecision.Forward forward
+                    ? attempts.run(request, forward, this::streamEnded)
+                    : answer(request, decision);
         }
+        return result;
     }
 
-    /** Carries out a decision; returns whether the request is finished. */
-    private boolean executeDecision(InFlightRequest request, RoutingDecision decision) throws InterruptedException {
-        if (decision instanceof RoutingDecision.Forward forward) {
-            return attempts.run(request, forward);
-        }
+    /** Gives the final answer that the router has decided on. */
+    private AttemptRunner.Result answer(InFlightRequest request, RoutingDecision decision) {
         if (decision instanceof RoutingDecision.Reject reject) {
             reject(request, reject);
         } else if (decision instanceof RoutingDecision.Fail) {
@@ -178,7 +195,7 @@
         } else if (request.isExpired()) {
             answerExpired(request);
         }
-        return true;
+        return AttemptRunner.Result.FINISHED;
     }
 
     /**
--- a/src/main/java/dunlinladder/core/EngineTransport.java
+++ b/src/main/java/dunlinladder/core/EngineTransport.java
@@ -1,5 +1,8 @@
 package dunlinladder.core;
 
+import java.util.Optional;
+import java.util.function.Consumer;
+
 /** Port to the engines. */
 public interface EngineTransport {
 
@@ -18,10 +21,21 @@
     /** One attempt in flight. */
     interface Call {
 
-        /** Waits for the end; the attempt times out at its first-token deadline unless its stream has begun. */
-        Outcome await() throws InterruptedException;
+        /**
+         * Waits until the attempt has ended or its stream has begun; without a stream the attempt times out at its
+         * first-token deadline.
+         *
+         * @return the outcome; empty if the stream has begun and has not ended
+         */
+        Optional<Outcome> awaitEndOrStream() throws InterruptedException;
+
+        /**
+         * Passes the outcome to {@code task} once the attempt has ended, on a thread of the transport. Called at most
+         * once, after {@link #awaitEndOrStream} has returned empty, so that no thread waits for the end of a stream.
+         */
+        void onEnd(Consumer<Outcome> task);
 
-        /** Cancels the attempt; {@link #await} then returns soon. Has no effect on an attempt that has ended. */
+        /** Cancels the attempt; it then ends soon. Has no effect on an attempt that has ended. */
         void cancelAttempt();
 
         /** Cancels the attempt unless its stream has begun; returns whether it has not begun. */
--- a/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
+++ b/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
@@ -2,15 +2,18 @@
 
 import dunlinladder.core.ArrivalDeadlines;
 import dunlinladder.core.Outcome;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 
 /**
  * The phase of one attempt, its deadlines, and its outcome, which is set once. Times are clock times in seconds.
  *
  * <p>HttpCore's I/O thread reports the bytes sent and received, the client's side reports the bytes delivered to the
- * client, and the request's thread waits for the end or gives the attempt up. The lock of this object guards all
+ * client, and the request's thread waits for the stream and gives the attempt up. The lock of this object guards all
  * mutable fields. The phase and the outcome are always checked together, so that nothing is sent or forwarded after the
  * outcome is set.
  */
@@ -40,10 +43,8 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
-    /**
-     * Number of deadline checks within {@code streamSeconds}; they are needed because each event moves the deadline.
-     */
-    private static final int CHECKS_PER_STREAM_TIMEOUT = 8;
+    /** The longest wait between two checks of the deadline, which moves when the request has been written. */
+    private static final double MAX_WAIT_SECONDS = 0.5;
 
     /** Returns the clock time. */
     private final DoubleSupplier clock;
@@ -51,7 +52,10 @@
     private final Deadlines deadlines;
     private final EndListener listener;
     private final double startedAt;
-    private final CountDownLatch ended = new CountDownLatch(1);
+    private final Executor streamEnds;
+    /** Released when the stream begins, or the attempt ends without one. */
+    private final CountDownLatch settled = new CountDownLatch(1);
+
     private AttemptPhase phase = AttemptPhase.CONNECTING;
     private double writtenAt = Double.NaN;
     private boolean overdueReported;
@@ -62,6 +66,9 @@
 
     private int undeliveredBytes;
     private Outcome outcome;
+    private volatile boolean ended;
+    /** Receives the outcome of an attempt whose stream has begun; null if none is set. */
+    private Consumer<Outcome> endTask;
 
     /**
      * The deadlines of an attempt.
@@ -73,9 +80,15 @@
      */
     record Deadlines(ArrivalDeadlines arrival, double firstEvent, double streamSeconds, double eventSeconds) {}
 
-    /** Creates the progress of an attempt that starts now; {@code clock} returns the clock time. */
-    AttemptProgress(DoubleSupplier clock, Deadlines deadlines, EndListener listener) {
+    /**
+     * Creates the progress of an attempt that starts now.
+     *
+     * @param clock returns the clock time
+     * @param streamEnds runs the task of {@link #onEnd}
+     */
+    AttemptProgress(DoubleSupplier clock, Deadlines deadlines, Executor streamEnds, EndListener listener) {
         this.clock = clock;
+        this.streamEnds = streamEnds;
         this.deadlines = deadlines;
         this.listener = listener;
         this.startedAt = clock.getAsDouble();
@@ -145,6 +158,7 @@
         lastActivityAt = clock.getAsDouble();
         eventIncompleteSince = Double.NaN;
         undeliveredBytes += bytes;
+        settled.countDown();
         return first ? StreamPosition.FIRST : StreamPosition.LATER;
     }
 
@@ -187,7 +201,25 @@
         }
         listener.ended(result, firstEventAt - startedAt);
         outcome = result;
-        ended.countDown();
+        ended = true;
+        settled.countDown();
+        if (endTask != null) {
+            runEndTask();
+        }
+    }
+
+    /** Has a task run with the outcome once there is one. */
+    synchronized void onEnd(Consumer<Outcome> task) {
+        endTask = task;
+        if (hasEnded()) {
+            runEndTask();
+        }
+    }
+
+    private void runEndTask() {
+        Consumer<Outcome> task = endTask;
+        Outcome result = outcome;
+        streamEnds.execute(() -> task.accept(result));
     }
 
     /**
@@ -211,10 +243,10 @@
     /**
      * Ends the attempt if its deadline has passed.
      *
-     * @return whether the deadline has passed
+     * @return whether it has, and the attempt had not ended before
      */
     synchronized boolean endIfTimedOut() {
-        if (clock.getAsDouble() < deadline()) {
+        if (hasEnded() || clock.getAsDouble() < deadline()) {
             return false;
         }
         end(Outcome.of(phase.endingWhenTimedOut()));
@@ -223,25 +255,25 @@
 
     /** Whether there is an outcome. */
     boolean hasEnded() {
-        return ended.getCount() == 0;
+        return ended;
     }
 
     /**
-     * Waits for the outcome, at most until the next deadline. The wait is shorter if the deadline may still move; the
-     * caller then waits again.
+     * Waits until the attempt has ended or its stream has begun, at most until the next deadline. The wait is shorter
+     * if the deadline may still move; the caller then waits again.
      *
-     * @return whether there is an outcome
+     * @return whether one of the two is the case
      */
-    boolean awaitEnd() throws InterruptedException {
+    boolean awaitEndOrStream() throws InterruptedException {
         double remainingSeconds = nextDeadline() - clock.getAsDouble();
-        double seconds = Math.max(0, Math.min(remainingSeconds, deadlines.streamSeconds() / CHECKS_PER_STREAM_TIMEOUT));
+        double seconds = Math.max(0, Math.min(remainingSeconds, MAX_WAIT_SECONDS));
         // An interrupted thread also gets an outcome that is already there.
-        return hasEnded() || ended.await((long) (seconds * NANOS_PER_SECOND), TimeUnit.NANOSECONDS);
+        return hasEnded() || settled.await((long) (seconds * NANOS_PER_SECOND), TimeUnit.NANOSECONDS);
     }
 
-    /** Returns the outcome; valid only after {@link #awaitEnd} has returned true. */
-    synchronized Outcome outcome() {
-        return outcome;
+    /** Returns the outcome; empty if there is none yet. */
+    synchronized Optional<Outcome> outcome() {
+        return Optional.ofNullable(outcome);
     }
 
     /** Returns the deadline of the attempt, or the time at which its answer becomes overdue if that is earlier. */
--- a/src/main/java/dunlinladder/transport/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCall.java
@@ -12,6 +12,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.EntityDetails;
@@ -32,12 +34,13 @@
  * One attempt on the wire: writes the request, relays the stream and determines the outcome. Nothing is ever sent
  * twice.
  *
- * <p>The request's thread waits in {@link #await} and gives the attempt up; any thread may call {@link #cancelAttempt}.
- * HttpCore's I/O thread does everything else, except that an idle connection is used directly by the thread that starts
- * the call. The locks of {@link AttemptProgress}, {@link EngineFlowControl} and {@link EngineExchange} guard the state
- * that these threads share; none of them is acquired here while another one is held. An attempt that is complete or
- * given up gets its outcome before its connection is released; an attempt whose connection failed, or that may no
- * longer start, gets it just after.
+ * <p>The request's thread waits in {@link #awaitEndOrStream} and gives the attempt up; {@link OpenStreams} does so once
+ * the stream has begun, and any thread may call {@link #cancelAttempt}. HttpCore's I/O thread does everything else,
+ * except that an idle connection is used directly by the thread that starts the call. The locks of
+ * {@link AttemptProgress}, {@link EngineFlowControl} and {@link EngineExchange} guard the state that these threads
+ * share; none of them is acquired here while another one is held. An attempt that is complete or given up gets its
+ * outcome before its connection is released; an attempt whose connection failed, or that may no longer start, gets it
+ * just after.
  */
 final class EngineCall extends EngineExchange implements EngineTransport.Call {
 
@@ -83,6 +86,7 @@
                 context.clock()::now,
                 new AttemptProgress.Deadlines(
                         attempt.arrival(), attempt.firstTokenDeadline(), limits.streamSeconds(), limits.eventSeconds()),
+                context.openStreams().ends(),
                 this::reportOutcome);
         this.client = client;
         this.listener = listener;
@@ -99,21 +103,38 @@
     // ---- Called by the core ----
 
     @Override
-    public Outcome await() throws InterruptedException {
-        while (!progress.awaitEnd()) {
+    public Optional<Outcome> awaitEndOrStream() throws InterruptedException {
+        while (!progress.awaitEndOrStream()) {
             if (progress.becameOverdue()) {
                 listener.confirmationOverdue();
             }
-            if (progress.endIfTimedOut()) {
-                if (progress.isStreaming()) {
-                    logBroken("the stream did not continue in time");
-                }
-                closeConnection();
-            }
+            endIfTimedOut();
         }
         return progress.outcome();
     }
 
+    @Override
+    public void onEnd(Consumer<Outcome> task) {
+        progress.onEnd(task);
+        context.openStreams().add(this);
+    }
+
+    /** Ends the attempt if its deadline has passed; returns whether it has ended. */
+    boolean hasEndedOrTimesOut() {
+        return progress.hasEnded() || endIfTimedOut();
+    }
+
+    private boolean endIfTimedOut() {
+        boolean timedOut = progress.endIfTimedOut();
+        if (timedOut) {
+            if (progress.isStreaming()) {
+                logBroken("the stream did not continue in time");
+            }
+            closeConnection();
+        }
+        return timedOut;
+    }
+
     @Override
     public void cancelAttempt() {
         progress.end(Outcome.of(Ending.CANCELLED));
--- a/src/main/java/dunlinladder/transport/engine/EngineCallContext.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCallContext.java
@@ -13,10 +13,12 @@
  * @param clock the clock of the attempts' deadlines
  * @param limits sizes and times of a call
  * @param counters the gateway's counters
+ * @param openStreams the calls whose streams have begun
  */
 record EngineCallContext(
         EngineConnectionPool connections,
         SendGuard sendGuard,
         MonotonicClock clock,
         Limits limits,
-        Counters counters) {}
+        Counters counters,
+        OpenStreams openStreams) {}
--- a/src/main/java/dunlinladder/transport/engine/EngineClient.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineClient.java
@@ -40,7 +40,8 @@
      *
      * @param engines the engines that may be asked to release a KV cache
      * @param sendGuard checked before the first byte of an attempt is written
-     * @param timer executor with one thread, which runs the releases and asks the next engine if one does not answer
+     * @param timer executor with one thread, which runs the releases, asks the next engine if one does not answer, and
+     *     ends streams that do not continue
      */
     public EngineClient(
             EngineConnectionPool connections,
@@ -49,8 +50,8 @@
             Instruments instruments,
             Limits limits,
             ScheduledExecutorService timer) {
-        this.context =
-                new EngineCallContext(connections, sendGuard, instruments.clock(), limits, instruments.counters());
+        this.context = new EngineCallContext(
+                connections, sendGuard, instruments.clock(), limits, instruments.counters(), new OpenStreams(timer));
         this.counters = instruments.counters();
         this.cacheHolds = instruments.cacheHolds();
         this.releaseContext = new CacheRelease.Context(connections, engines, limits, timer);
--- a/src/test/java/dunlinladder/core/DispatcherTest.java
+++ b/src/test/java/dunlinladder/core/DispatcherTest.java
@@ -1,6 +1,7 @@
 package dunlinladder.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dunlinladder.core.Outcome.Ending;
@@ -9,8 +10,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -64,6 +67,9 @@
     /** Whether the client has closed its connection and the close has not been reported. */
     private boolean unreportedClose;
 
+    /** The ends of the streams, for a test in which streams begin; otherwise empty. */
+    private Optional<List<Runnable>> streamEnds = Optional.empty();
+
     private Dispatcher dispatcher;
 
     private final RequestRouter router = new RequestRouter() {
@@ -106,8 +112,13 @@
             whileInFlight.run();
             return new Call() {
                 @Override
-                public Outcome await() {
-                    return Outcome.of(endings.remove());
+                public Optional<Outcome> awaitEndOrStream() {
+                    return streamEnds.isPresent() ? Optional.empty() : Optional.of(Outcome.of(endings.remove()));
+                }
+
+                @Override
+                public void onEnd(Consumer<Outcome> task) {
+                    streamEnds.orElseThrow().add(() -> task.accept(Outcome.of(endings.remove())));
                 }
 
                 @Override
@@ -397,4 +408,23 @@
         assertEquals(List.of("m1", "w1"), sent);
         assertEquals(List.of("complete"), answers);
     }
+
+    /** Guards against threads that wait for the ends of streams whose clients read slowly (report 906079, b). */
+    @ParameterizedTest
+    @CsvSource({"OK, complete", "RESET, abort", "CANCELLED, abort"})
+    void concludesARequestWhenItsStreamEndsWithoutItsThread(Ending ending, String answer) {
+        List<Runnable> ends = new ArrayList<>();
+        streamEnds = Optional.of(ends);
+        updateEngines(Engine.State.ACTIVE, "m1");
+        decisions.add(new RoutingDecision.Forward("m1", 0));
+        endings.add(ending);
+        submit(NON_IDEMPOTENT);
+        assertEquals(List.of(), answers);
+        assertEquals(1, dispatcher.activeRequests());
+        ends.forEach(Runnable::run);
+        assertEquals(List.of(answer), answers);
+        assertEquals(List.of(ending), reportedEndings);
+        assertEquals(0, dispatcher.activeRequests());
+        assertFalse(dispatcher.submit(request(NON_IDEMPOTENT), client), "it may have run");
+    }
 }
--- a/src/test/java/dunlinladder/transport/engine/AttemptProgressTest.java
+++ b/src/test/java/dunlinladder/transport/engine/AttemptProgressTest.java
@@ -22,6 +22,7 @@
         return new AttemptProgress(
                 new MonotonicClock()::now,
                 new AttemptProgress.Deadlines(new ArrivalDeadlines(0, 0, 0), 0, streamSeconds, 60),
+                Runnable::run,
                 (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
     }
 
@@ -63,11 +64,11 @@
         AttemptProgress.Deadlines deadlines =
                 new AttemptProgress.Deadlines(new ArrivalDeadlines(0, 0, 0), clock.now() + 1000, 1, 60);
         AttemptProgress unwritten = new AttemptProgress(
-                clock::now, deadlines, (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
+                clock::now, deadlines, Runnable::run, (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
         assertTrue(unwritten.endIfTimedOut());
         assertFalse(unwritten.beginWrite());
         AttemptProgress written = new AttemptProgress(
-                clock::now, deadlines, (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
+                clock::now, deadlines, Runnable::run, (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
         written.requestWritten();
         assertFalse(written.endIfTimedOut());
         assertEquals(List.of(Ending.CONNECT_FAILED), endings);
@@ -111,8 +112,8 @@
         progress.end(Outcome.of(Ending.CANCELLED));
         progress.endBroken();
         assertTrue(progress.hasEnded());
-        assertTrue(progress.awaitEnd());
-        assertEquals(Ending.CANCELLED, progress.outcome().ending());
+        assertTrue(progress.awaitEndOrStream());
+        assertEquals(Ending.CANCELLED, progress.outcome().orElseThrow().ending());
         assertFalse(progress.beginWrite());
         assertEquals(AttemptProgress.StreamPosition.AFTER_END, progress.eventsArrived(1));
         assertEquals(List.of(Ending.CANCELLED), endings);
@@ -125,6 +126,7 @@
         AttemptProgress progress = new AttemptProgress(
                 () -> now[0],
                 new AttemptProgress.Deadlines(new ArrivalDeadlines(9, 9, 9), 9, 4, 20),
+                Runnable::run,
                 (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
         progress.eventsArrived(1);
         progress.eventsDelivered(1);
@@ -144,6 +146,7 @@
         AttemptProgress progress = new AttemptProgress(
                 () -> now[0],
                 new AttemptProgress.Deadlines(new ArrivalDeadlines(9, 9, 9), 9, 4, 20),
+                Runnable::run,
                 (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
         progress.eventsArrived(1);
         progress.eventsDelivered(1);
--- a/src/test/java/dunlinladder/transport/engine/EngineCallTest.java
+++ b/src/test/java/dunlinladder/transport/engine/EngineCallTest.java
@@ -60,7 +60,9 @@
             Engine engine = EngineConnectionFixture.engine("e1", EngineConnectionFixture.addressOf(server), 0);
             EngineTransport.Call call = fixture.client(List.of(engine))
                     .send(attempt(engine, new MonotonicClock().now() + 10), clientThatHasLeft(), ignoringListener());
-            assertEquals(Outcome.Ending.CONNECT_FAILED, call.await().ending());
+            assertEquals(
+                    Outcome.Ending.CONNECT_FAILED,
+                    call.awaitEndOrStream().orElseThrow().ending());
             assertEquals(1, fixture.counters.count(Counter.SENDS_REFUSED_CLIENT_GONE));
         }
     }
