Count requests with a thread and streams apart, and let 16 KB of a stream wait

Cause: a slow reader's stream held one of the places that are counted by the memory of a thread, 2 per MB, and up to 64 KB of its events in the heap.

Change: requests without a stream yet are limited by threads as before, all requests by the connections, the platform's cap and half of the heap at 40 KB a stream. HttpCore's window of 64 KB in front of a slow client is 16 KB. Names and values of the settings stay.

--- a/src/main/java/dunlinladder/core/Limits.java
+++ b/src/main/java/dunlinladder/core/Limits.java
@@ -66,15 +66,17 @@
     /**
      * Limits on requests and connections that exist at once.
      *
-     * @param requests maximum number of requests in flight; each uses a thread
+     * @param requests maximum number of requests in flight
+     * @param requestThreads maximum number of requests without a stream yet; each uses a thread
      * @param clientConnections maximum number of connections from clients
      * @param engineConnections maximum number of connections to engines, including idle ones
      */
-    public record CapacityLimits(int requests, int clientConnections, int engineConnections) {
+    public record CapacityLimits(int requests, int requestThreads, int clientConnections, int engineConnections) {
 
         /** Checks the values. */
         public CapacityLimits {
             requireNotNegative(requests, "requests");
+            requireNotNegative(requestThreads, "requestThreads");
             requireNotNegative(clientConnections, "clientConnections");
             requireNotNegative(engineConnections, "engineConnections");
         }
@@ -243,6 +245,11 @@
         return capacity.requests();
     }
 
+    /** See {@link CapacityLimits}. */
+    public int requestThreads() {
+        return capacity.requestThreads();
+    }
+
     /** See {@link CapacityLimits}. */
     public int clientConnections() {
         return capacity.clientConnections();
--- a/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
+++ b/src/main/java/dunlinladder/lifecycle/GatewayAssembly.java
@@ -147,13 +147,13 @@
     }
 
     /**
-     * Creates the executor that runs each request, from its arrival to its final answer, on its own thread
-     * {@code request}.
+     * Creates the executor that runs each request, from its arrival to the beginning of its stream or its final answer,
+     * on its own thread {@code request}.
      */
     private Executor createRequestThreads() {
         return new ThreadPoolExecutor(
                 MIN_REQUEST_THREADS,
-                limits.requests(),
+                limits.requestThreads(),
                 REQUEST_THREAD_IDLE_SECONDS,
                 TimeUnit.SECONDS,
                 new SynchronousQueue<>(),
--- a/src/main/java/dunlinladder/lifecycle/LimitsReader.java
+++ b/src/main/java/dunlinladder/lifecycle/LimitsReader.java
@@ -22,8 +22,12 @@
 
     private static final int DEFAULT_MEMORY_MEGABYTES = 160;
     private static final int MIN_MEMORY_MEGABYTES = 32;
-    /** A request needs a thread with its stack, and a share of the heap: about 100 KB in total. */
-    private static final int REQUESTS_PER_MEGABYTE = 2;
+    /** A thread takes about 100 KB of memory for its stack. */
+    private static final int REQUEST_THREADS_PER_MEGABYTE = 2;
+    /** Heap of a request whose stream waits for its client: the waiting events, and the buffers of two connections. */
+    private static final int HEAP_BYTES_PER_STREAM = 40 * 1024;
+    /** Ratio of the maximum heap to the part of it that the streams of all requests may take. */
+    private static final int HEAP_TO_STREAMS_RATIO = 2;
     /** Ratio of the maximum heap to the part of it that the data of all requests may take. */
     private static final int HEAP_TO_REQUEST_MEMORY_RATIO = 4;
     /** Ratio of the maximum heap to the part of it that one body may take while it is parsed. */
@@ -115,19 +119,27 @@
     }
 
     /**
-     * Computes the capacity. Clients and engines each get half of the connections. Memory and the platform's cap limit
-     * the requests too.
+     * Computes the capacity. Clients and engines each get half of the connections. The platform's cap limits the
+     * requests too, memory limits those that need a thread, and the heap those that stream.
      */
     private static Limits.CapacityLimits capacity(JsonObject process, JsonObject caps) {
         int sockets = process.intInRange(
                 "sockets", DEFAULT_SOCKETS, MIN_SOCKETS_FACTOR * RESERVED_SOCKETS, Integer.MAX_VALUE);
         int memoryMegabytes = process.intInRange(
-                "memory_mb", DEFAULT_MEMORY_MEGABYTES, MIN_MEMORY_MEGABYTES, Integer.MAX_VALUE / REQUESTS_PER_MEGABYTE);
+                "memory_mb",
+                DEFAULT_MEMORY_MEGABYTES,
+                MIN_MEMORY_MEGABYTES,
+                Integer.MAX_VALUE / REQUEST_THREADS_PER_MEGABYTE);
         int connections = Math.min(MAX_CONNECTIONS, sockets - RESERVED_SOCKETS) / 2;
-        int requests = Math.min(
-                Math.min(connections, REQUESTS_PER_MEGABYTE * memoryMegabytes),
-                caps.intInRange("most-held", connections, 1, Integer.MAX_VALUE));
-        return new Limits.CapacityLimits(requests, connections, connections);
+        int maxHeld = Math.min(connections, caps.intInRange("most-held", connections, 1, Integer.MAX_VALUE));
+        int requestThreads = Math.min(maxHeld, REQUEST_THREADS_PER_MEGABYTE * memoryMegabytes);
+        int requests = Math.min(maxHeld, Math.max(requestThreads, maxStreams()));
+        return new Limits.CapacityLimits(requests, requestThreads, connections, connections);
+    }
+
+    private static int maxStreams() {
+        return (int) Math.min(
+                Integer.MAX_VALUE, Runtime.getRuntime().maxMemory() / HEAP_TO_STREAMS_RATIO / HEAP_BYTES_PER_STREAM);
     }
 
     private static Limits.EngineConnectionTimes engineConnectionTimes(JsonObject caps) {
--- a/src/main/java/dunlinladder/transport/http/MessageHeadParser.java
+++ b/src/main/java/dunlinladder/transport/http/MessageHeadParser.java
@@ -30,6 +30,8 @@
     private static final char DELETE = 127;
     /** Maximum number of bytes that are read from a connection at once. */
     private static final int BUFFER_BYTES = 4096;
+    /** Bytes of a stream that may wait for its client before no more is read from the engine. */
+    private static final int WINDOW_BYTES = 16 * 1024;
 
     private static final int MAX_HEADERS = 100;
 
@@ -59,6 +61,7 @@
     public static Http1Config config(Limits limits) {
         return Http1Config.custom()
                 .setBufferSize(BUFFER_BYTES)
+                .setInitialWindowSize(WINDOW_BYTES)
                 .setMaxHeaderCount(MAX_HEADERS)
                 .setMaxLineLength(limits.headBytes())
                 .build();
--- a/src/test/java/dunlinladder/core/LimitsBuilder.java
+++ b/src/test/java/dunlinladder/core/LimitsBuilder.java
@@ -30,7 +30,7 @@
         return new Limits(
                 new Limits.MessageLimits(16384, 16384, 1024, 1024, 1024),
                 new Limits.EngineResponseLimits(16, 16384, 4096),
-                new Limits.CapacityLimits(requests, 10, 10),
+                new Limits.CapacityLimits(requests, requests, 10, 10),
                 new Limits.EngineConnectionTimes(5, 10, 0.02, 30),
                 new Limits.AttemptTimes(0.02, 0.04, 4, 60),
                 new Limits.ReleaseLimits(releaseSeconds, 4),
--- a/src/test/java/dunlinladder/it/RunningGateway.java
+++ b/src/test/java/dunlinladder/it/RunningGateway.java
@@ -26,6 +26,7 @@
     private static final int TEST_JAR_DESCRIPTORS = 40;
 
     private static final int DEFAULT_DESCRIPTOR_LIMIT = 1024;
+    private static final int DEFAULT_MEMORY_MEGABYTES = 160;
     /** The stack size of threads that deploy/run.sh sets. */
     private static final String THREAD_STACK_OPTION = "-Xss256k";
 
@@ -69,6 +70,7 @@
     private final Path configuration;
     private final long enginesStartedMillis;
     private final int descriptorLimit;
+    private final int memoryMegabytes;
 
     /** Options of a gateway. By default it has only the platform front, and its own engines. */
     static final class Builder {
@@ -78,6 +80,7 @@
         private Map<StubServer, String> additionalEngines = Map.of();
         private RunningGateway stubOwner;
         private int descriptorLimit = DEFAULT_DESCRIPTOR_LIMIT;
+        private int memoryMegabytes = DEFAULT_MEMORY_MEGABYTES;
         private List<String> decodeAddresses = List.of();
         private String settings = SETTINGS;
         private long enginesStartedMillis;
@@ -130,6 +133,12 @@
             return this;
         }
 
+        /** Sets the memory in the configuration, in megabytes. The process itself is not limited to it. */
+        Builder memoryMegabytes(int megabytes) {
+            memoryMegabytes = megabytes;
+            return this;
+        }
+
         /** Starts the gateway and returns once it listens. */
         RunningGateway start() throws IOException {
             return new RunningGateway(this);
@@ -160,6 +169,7 @@
                 ? decodeEngines.stream().map(StubServer::address).toList()
                 : options.decodeAddresses;
         descriptorLimit = options.descriptorLimit;
+        memoryMegabytes = options.memoryMegabytes;
         enginesStartedMillis = options.enginesStartedMillis;
         configuration = Files.createTempFile("gateway", ".json");
         writeConfiguration(discovery.address(), options.settings);
@@ -218,7 +228,8 @@
                         + "\"name\":\"n0\",\"seed\":\"8c1f30d27a5be964\",\"known\":{\"seq\":1,"
                         + "\"whole\":true,\"hosts\":["
                         + String.join(",", endpoints).replace("\"born_ms\":0", "\"born_ms\":" + enginesStartedMillis)
-                        + "]},\"limits\":{\"sockets\":" + descriptorLimit + "},\"settings\":" + settings + "}");
+                        + "]},\"limits\":{\"sockets\":" + descriptorLimit + ",\"memory_mb\":" + memoryMegabytes
+                        + "},\"settings\":" + settings + "}");
     }
 
     /** Sends a signal to the gateway. */
--- a/src/test/java/dunlinladder/it/StubAnswer.java
+++ b/src/test/java/dunlinladder/it/StubAnswer.java
@@ -26,6 +26,7 @@
     private static final int OPENING_BRACKETS = 2000;
     private static final int TRICKLED_CHARACTERS = 2000;
     private static final int TRICKLED_PIECE_CHARACTERS = 200;
+    private static final double STEADY_EVENT_SECONDS = 0.2;
     /** A whole trickled event takes longer than an engine may be silent. */
     private static final double TRICKLE_PAUSE_SECONDS = 0.6;
 
@@ -191,6 +192,10 @@
     }
 
     private void writeMiddleEvents() throws IOException {
+        while (body.contains("steady") && !server.isClosed()) {
+            SoakFaults.sleep(STEADY_EVENT_SECONDS);
+            RawHttp.writeChunk(out, delta("more", "null"));
+        }
         if (body.contains("trickled")) {
             writeSlowly(delta("x".repeat(TRICKLED_CHARACTERS), "null"));
         }
