--- a/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
+++ b/src/main/java/dunlinladder/transport/engine/AttemptProgress.java
@@ -203,23 +203,34 @@
         outcome = result;
         ended = true;
         settled.countDown();
-        if (endTask != null) {
-            runEndTask();
-        }
+        runEndTask();
     }
 
     /** Has a task run with the outcome once there is one. */
     synchronized void onEnd(Consumer<Outcome> task) {
         endTask = task;
-        if (hasEnded()) {
-            runEndTask();
-        }
+        runEndTask();
     }
 
-    private void runEndTask() {
+    /**
+     * Passes the end task on, unless it was passed on before or there is no outcome yet.
+     *
+     * @return whether the task has been passed on; false also if there was no memory for it, so that this method is to
+     *     be called again
+     */
+    synchronized boolean runEndTask() {
+        if (outcome == null || endTask == null) {
+            return outcome != null;
+        }
         Consumer<Outcome> task = endTask;
         Outcome result = outcome;
-        streamEnds.execute(() -> task.accept(result));
+        try {
+            streamEnds.execute(() -> task.accept(result));
+            endTask = null;
+        } catch (OutOfMemoryError e) {
+            return false;
+        }
+        return true;
     }
 
     /**
--- a/src/main/java/dunlinladder/transport/engine/EngineCall.java
+++ b/src/main/java/dunlinladder/transport/engine/EngineCall.java
@@ -119,9 +119,10 @@
         context.openStreams().add(this);
     }
 
-    /** Ends the attempt if its deadline has passed; returns whether it has ended. */
-    boolean hasEndedOrTimesOut() {
-        return progress.hasEnded() || endIfTimedOut();
+    /** Ends the attempt if its deadline has passed; returns whether the task of {@link #onEnd} has been passed on. */
+    boolean endsOrTimesOut() {
+        endIfTimedOut();
+        return progress.runEndTask();
     }
 
     private boolean endIfTimedOut() {
--- a/src/test/java/dunlinladder/transport/engine/AttemptProgressTest.java
+++ b/src/test/java/dunlinladder/transport/engine/AttemptProgressTest.java
@@ -157,4 +157,29 @@
         assertTrue(progress.endIfTimedOut());
         assertFalse(progress.endIfTimedOut(), "it has ended before");
     }
+
+    /** Guards against a request without a final answer whose stream ends while there is no memory. */
+    @Test
+    void passesTheEndOnAgainWhenThereWasNoMemoryForIt() {
+        List<Outcome> ends = new ArrayList<>();
+        int[] failures = {1};
+        AttemptProgress progress = new AttemptProgress(
+                () -> 0,
+                new AttemptProgress.Deadlines(new ArrivalDeadlines(9, 9, 9), 9, 4, 20),
+                task -> {
+                    if (failures[0]-- > 0) {
+                        throw new OutOfMemoryError("thrown by the test");
+                    }
+                    task.run();
+                },
+                (outcome, firstTokenSeconds) -> endings.add(outcome.ending()));
+        progress.eventsArrived(1);
+        progress.onEnd(ends::add);
+        assertFalse(progress.runEndTask(), "there is no outcome yet");
+        progress.endBroken();
+        assertEquals(List.of(), ends);
+        assertTrue(progress.runEndTask());
+        assertTrue(progress.runEndTask());
+        assertEquals(List.of(Outcome.of(Ending.RESET)), ends);
+    }
 }
