--- a/src/main/java/dunlinladder/transport/engine/EventStreamFilter.java
+++ b/src/main/java/dunlinladder/transport/engine/EventStreamFilter.java
@@ -24,8 +24,8 @@
     private static final String DATA_FIELD = "data:";
     private static final String EVENT_FIELD = "event:";
     private static final String LOAD_REPORT_COMMENT = ": " + EngineReportReader.LOAD_HEADER + ":";
-    private static final List<byte[]> LINE_BEGINNINGS = Stream.of(DATA_FIELD, ":", EVENT_FIELD, "id:", "retry:", "\r")
-            .map(beginning -> beginning.getBytes(StandardCharsets.US_ASCII))
+    private static final List<byte[]> FIELD_PREFIXES = Stream.of(DATA_FIELD, ":", EVENT_FIELD, "id:", "retry:", "\r")
+            .map(prefix -> prefix.getBytes(StandardCharsets.US_ASCII))
             .toList();
     private static final String OTHER_LINE = "(:|event:|id:|retry:)[^\\p{Cntrl}]*";
 
@@ -106,9 +106,9 @@
     /** Checks how the incomplete line begins, so that noise that never ends a line is not taken for a slow event. */
     private void checkIncompleteLine() {
         int length = size - lineStart;
-        for (byte[] beginning : LINE_BEGINNINGS) {
-            int compared = Math.min(length, beginning.length);
-            if (Arrays.equals(pending, lineStart, lineStart + compared, beginning, 0, compared)) {
+        for (byte[] prefix : FIELD_PREFIXES) {
+            int compared = Math.min(length, prefix.length);
+            if (Arrays.equals(pending, lineStart, lineStart + compared, prefix, 0, compared)) {
                 return;
             }
         }
--- a/src/main/java/dunlinladder/transport/simulator/SimulatorCodec.java
+++ b/src/main/java/dunlinladder/transport/simulator/SimulatorCodec.java
@@ -44,24 +44,28 @@
         List<RoutingEvent.Endpoint> endpoints = new ArrayList<>();
         if (body.has("nodes-list")) {
             for (JsonObject entry : body.children("nodes-list")) {
-                RoutingEvent.Lifecycle lifecycle = switch (entry.text("lifecycle", "active")) {
-                    case "active" -> RoutingEvent.Lifecycle.ACTIVE;
-                    case "leaving" -> RoutingEvent.Lifecycle.LEAVING;
-                    default -> RoutingEvent.Lifecycle.LEFT;
-                };
-                endpoints.add(new RoutingEvent.Endpoint(
-                        entry.text("worker"),
-                        (int) entry.integer("locality", 0),
-                        (int) entry.integer("kind", 0),
-                        (int) entry.integer("cohort", 0),
-                        lifecycle,
-                        entry.number("heft", 1),
-                        entry.number("last-start", 0)));
+                endpoints.add(endpoint(entry));
             }
         }
         return new RoutingEvent.EndpointsChanged(scope, endpoints);
     }
 
+    private static RoutingEvent.Endpoint endpoint(JsonObject entry) {
+        RoutingEvent.Lifecycle lifecycle = switch (entry.text("lifecycle", "active")) {
+            case "active" -> RoutingEvent.Lifecycle.ACTIVE;
+            case "leaving" -> RoutingEvent.Lifecycle.LEAVING;
+            default -> RoutingEvent.Lifecycle.LEFT;
+        };
+        return new RoutingEvent.Endpoint(
+                entry.text("worker"),
+                (int) entry.integer("locality", 0),
+                (int) entry.integer("kind", 0),
+                (int) entry.integer("cohort", 0),
+                lifecycle,
+                entry.number("heft", 1),
+                entry.number("last-start", 0));
+    }
+
     private static RoutingEvent.Request request(JsonObject body) {
         return new RoutingEvent.Request(
                 body.text("id"),
@@ -87,7 +91,7 @@
                 report.put(name, stats.number(name, 0));
             }
         }
-        RoutingEvent.Status status = status((int) body.integer("outcome"));
+        RoutingEvent.Status status = OutcomeCode.status((int) body.integer("outcome"));
         return new RoutingEvent.AttemptEnded(
                 body.text("id"),
                 (int) body.integer("go"),
@@ -100,21 +104,6 @@
                 status.mayHaveArrived());
     }
 
-    private static RoutingEvent.Status status(int code) {
-        return switch (code) {
-            case 100 -> RoutingEvent.Status.OK;
-            case 210 -> RoutingEvent.Status.PREFILLED;
-            case 301 -> RoutingEvent.Status.ERROR;
-            case 302 -> RoutingEvent.Status.FULL;
-            case 303 -> RoutingEvent.Status.TIMEOUT;
-            case 304 -> RoutingEvent.Status.CONNECT_FAILED;
-            case 305 -> RoutingEvent.Status.RESET;
-            case 306 -> RoutingEvent.Status.CANCELLED;
-            case 307 -> RoutingEvent.Status.NOT_SENT;
-            default -> throw new InvalidInputException("unknown outcome " + code + " in Returned");
-        };
-    }
-
     /** Appends the line for one action. */
     static void action(StringBuilder line, long instance, RoutingAction action) {
         if (action instanceof RoutingAction.Forward a) {
