Soak mutants: a client that left is asked for in three places now

Cause: the mutant CLIENT_NOT_ASKED took out the report of a close alone. It takes out all three now, so that it breaks the rule that it is made for. make soak-mutants MUTANT=NAME runs one.

--- a/Makefile
+++ b/Makefile
@@ -54,9 +54,11 @@
 	java -cp target/classes:target/test-classes:$$(cat target/test-classpath.txt) dunlinladder.it.SilenceTable $(GATEWAY)
 
 # Tests the soak itself: it must detect each copy of the program from which the code that enforces one rule is removed.
+# MUTANT names one of them; without it all are run.
+MUTANT ?=
 soak-mutants: faults
 	mvn -q -B -ntp test-compile dependency:build-classpath -Dmdep.outputFile=target/test-classpath.txt -Dmdep.includeScope=test
-	java -cp target/classes:target/test-classes:$$(cat target/test-classpath.txt) dunlinladder.it.SoakMutants target/soak-mutants
+	java -cp target/classes:target/test-classes:$$(cat target/test-classpath.txt) dunlinladder.it.SoakMutants target/soak-mutants $(MUTANT)
 
 # Replays recorded requests of all API formats against engines of every other format and compares field by field.
 conformance:
--- a/src/test/java/dunlinladder/it/SoakMutants.java
+++ b/src/test/java/dunlinladder/it/SoakMutants.java
@@ -31,10 +31,13 @@
                 "transport/engine/EngineClient.java",
                 "        openReleases.incrementAndGet();",
                 "        if (true) {\n            return;\n        }\n        openReleases.incrementAndGet();")),
-        CLIENT_NOT_ASKED(new Change(
-                "core/Dispatcher.java",
-                "        InFlightRequest request = inFlight.get(id);",
-                "        InFlightRequest request = null;")),
+        CLIENT_NOT_ASKED(
+                new Change(
+                        "core/Dispatcher.java",
+                        "        InFlightRequest request = inFlight.get(id);",
+                        "        InFlightRequest request = null;"),
+                new Change("core/AttemptRunner.java", "request.client().hasDisconnected() || ", ""),
+                new Change("transport/engine/EngineCall.java", "client.hasDisconnected() || ", "")),
         GRACE_FORGOTTEN(
                 new Change(
                         "routing/EndpointTable.java",
@@ -70,10 +73,13 @@
 
     private SoakMutants() {}
 
-    /** Runs the soak on all mutants and exits with status 1 if one was not found. Argument: the folder for records. */
+    /**
+     * Runs the soak on mutants and exits with status 1 if one was not found. Arguments: the folder for records, and the
+     * name of the mutant to run; without a name all are run.
+     */
     public static void main(String[] args) throws IOException, InterruptedException {
         boolean allFound = true;
-        for (Mutant mutant : Mutant.values()) {
+        for (Mutant mutant : args.length > 1 ? new Mutant[] {Mutant.valueOf(args[1])} : Mutant.values()) {
             Path classes = Path.of("target/mutants", mutant.name());
             compile(mutant, classes);
             int seeds = seedsUntilFound(classes + File.pathSeparator + System.getProperty("java.class.path"), args[0]);
